--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,92 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "config/settings.h"
+#include "net/http.h"
+#include "node/node.h"
+
+namespace {
+
+using namespace foxshunt;
+
+constexpr int kUsageError = 2;
+
+void set_up_log() {
+  auto logger = spdlog::stderr_logger_mt("foxshunt");
+  logger->set_pattern("%L %v");
+  spdlog::set_default_logger(std::move(logger));
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level == nullptr ? spdlog::level::info : spdlog::level::from_str(level));
+}
+
+config::Settings load(const std::string& config_path, const std::string& operator_path) {
+  config::Settings settings = config::load_settings(config_path);
+  if (!operator_path.empty()) config::load_operator_settings(operator_path, settings);
+  return settings;
+}
+
+int serve(const std::string& config_path, const std::string& operator_path) {
+  const config::Settings settings = load(config_path, operator_path);
+  net::tune_process_for_threads();
+  // Taken by sigwait below; threads inherit the mask.
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGINT);
+  sigaddset(&ends, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  const node::Node node(settings);
+  int signal = 0;
+  sigwait(&ends, &signal);
+  spdlog::info("stopping on signal {}", signal);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("foxshunt, a cluster scheduler");
+  app.require_subcommand(1);
+  std::string config_path;
+  std::string operator_path;
+  CLI::App* serve_command = app.add_subcommand("serve", "run a controller until it is told to stop");
+  serve_command->add_option("--config", config_path, "deploy file (JSON)")->required();
+  serve_command->add_option("--settings", operator_path, "operators' own settings (XML)");
+  CLI::App* check_command = app.add_subcommand("check-config", "say whether the files can be used");
+  check_command->add_option("--config", config_path, "deploy file (JSON)")->required();
+  check_command->add_option("--settings", operator_path, "operators' own settings (XML)");
+  CLI::App* version_command = app.add_subcommand("version", "print the version");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::CallForHelp& help) {
+    return app.exit(help);
+  } catch (const CLI::ParseError& error) {
+    app.exit(error);
+    return kUsageError;
+  }
+  try {
+    set_up_log();
+    if (version_command->parsed()) {
+      std::cout << "foxshunt " << FOXSHUNT_VERSION << "\n";
+      return 0;
+    }
+    if (check_command->parsed()) {
+      (void)load(config_path, operator_path);
+      std::cout << "ok\n";
+      return 0;
+    }
+    if (serve_command->parsed()) return serve(config_path, operator_path);
+  } catch (const config::BadSettings& error) {
+    std::cerr << "foxshunt: " << error.what() << "\n";
+    return kUsageError;
+  } catch (const std::exception& error) {
+    std::cerr << "foxshunt: " << error.what() << "\n";
+    return 1;
+  }
+  return kUsageError;
+}
--- /dev/null
+++ b/src/config/constants.h
@@ -0,0 +1,88 @@
+// Every constant of foxshunt, each with its unit (in the name or the type) and its reason. Figures of a
+// deployment never stand here: they come from the deploy file.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace foxshunt::constants {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+// ---- PROTOCOL's fixed figures ----
+inline constexpr std::size_t kBodyLimitBytes = 64 * 1024;       // request bodies, and answers to users
+inline constexpr std::uint64_t kTasksPerJobMost = 100'000;      // `cubs`
+inline constexpr std::uint64_t kRentCountMost = 50;             // machines a rental request may ask for
+inline constexpr std::size_t kReturnNamesMost = 100;            // names a return request may hold
+inline constexpr std::uint64_t kListMost = 500;                 // machines in one page of the cloud's list
+inline constexpr std::uint64_t kStateItemsMost = 1000;          // items in one page of a state listing
+inline constexpr milliseconds kReportAnswerLimit = 4s;          // a worker gives a report up after this
+inline constexpr double kClockDrift = 0.0005;                   // steady clocks differ by up to this share
+inline constexpr milliseconds kStateLeaseLate = 100ms;          // a state lease may end this much late
+
+// ---- net ----
+inline constexpr std::size_t kThreadStackBytes = 128 * 1024;    // deepest use measured is under half of it
+inline constexpr int kListenBacklog = 256;                      // connects that wait while the core is busy
+inline constexpr std::size_t kPathLimitBytes = 256;             // longest path of PROTOCOL is under 230 bytes
+inline constexpr milliseconds kServerRequestLimit = 5s;         // whole request read, or answer written
+inline constexpr milliseconds kServerIdleLimit = 75s;           // longest user poll or lease is far shorter
+inline constexpr milliseconds kAcceptPause = 20ms;              // after accept() failed for want of sockets
+inline constexpr int kConnectionReserve = 60;                   // sockets kept for outgoing calls and peers
+inline constexpr std::size_t kStreamBufferBytes = 4096;         // most messages fit one read
+
+// ---- state ----
+inline constexpr milliseconds kStateConnectLimit = 1s;          // it is one hop away; silence means a cut
+inline constexpr milliseconds kStateCallLimit = 2s;             // answers take 10 ms, rarely a few hundred
+inline constexpr milliseconds kFrontCallLimit = 1500ms;         // users wait 2 s for a poll
+inline constexpr double kLeaderShare = 0.55;                    // of the state budgets; the rest is the others'
+inline constexpr milliseconds kFollowHold = 1500ms;             // each answer confirms what the leader has read
+inline constexpr milliseconds kStateRetryPause = 300ms;         // between tries while the state is out of reach
+
+inline constexpr std::uint32_t kTasksPerPart = 128;             // a part's record stays under 4 KiB
+inline constexpr std::size_t kRecordSpareBytes = 512;           // kept free under `value_kb` for a record's frame
+inline constexpr milliseconds kBudgetWait = 400ms;              // a poll waits this long for its turn, then 503
+inline constexpr double kFrontReserve = 0.3;                    // of a node's bucket; polls leave it to other work
+inline constexpr std::size_t kFrontClients = 6;                 // connections to the state for users' requests
+
+// ---- leadership ----
+inline constexpr milliseconds kLeaderLease = 4s;                // shorter than a restart, longer than a stutter
+inline constexpr milliseconds kLeaderRenew = 1s;                // three renewals may fail before the lease ends
+inline constexpr milliseconds kLeaderWatchHold = 10s;           // a follower's watch; a change answers at once
+inline constexpr milliseconds kKeepLooking = 500ms;             // leader's duties of a node that does not lead
+inline constexpr milliseconds kFenceMargin = 2s;                // delay of answers under way, timers that fire late
+
+// ---- control ----
+inline constexpr milliseconds kTick = 250ms;                    // housekeeping of the engine
+inline constexpr milliseconds kExpiryMargin = 500ms;            // a worker notices its expiry late by its timers
+inline constexpr milliseconds kAllocationLimit = 10s;           // DESIGN: a start not seen by then is replanned
+inline constexpr milliseconds kPlanHorizon = 1h;                // bookings further away tell nothing
+inline constexpr milliseconds kReturnIdle = 45s;                // an idle machine is kept at least this long
+inline constexpr double kBootSlack = 1.5;                       // boots are usually done within 1.5 `bootS`
+inline constexpr double kBootLost = 4.0;                        // after this many `bootS` a boot counts as lost
+inline constexpr milliseconds kCapacityPause = 20s;             // first pause after a refused rental
+inline constexpr milliseconds kCapacityPauseMost = 120s;        // refusals double the pause up to this
+inline constexpr int kMachineErrorsMost = 2;                    // errors in a row after which a machine is drained
+inline constexpr milliseconds kErrorPause = 5s;                 // first pause of a job whose tasks fail
+inline constexpr milliseconds kErrorPauseMost = 120s;           // failing jobs are tried this often for ever
+inline constexpr milliseconds kHaltRepeat = 1s;                 // direct halts are repeated until proof
+inline constexpr std::size_t kTasksPlannedPerPass = 500;        // of one array, as the paper does
+
+inline constexpr milliseconds kPlanPause = 100ms;               // between passes; what came meanwhile is planned at once
+inline constexpr milliseconds kWritePause = 15ms;               // gathers changes for one transaction
+inline constexpr milliseconds kHaltCallLimit = 3s;              // a silent worker delays only its own halts
+
+// ---- cloud ----
+inline constexpr milliseconds kCloudCallLimit = 5s;             // rentals take a fraction of a second
+inline constexpr milliseconds kListEvery = 4s;                  // the list lags by more than this anyway
+inline constexpr milliseconds kTypesEvery = 60s;                // spot prices move slowly
+inline constexpr milliseconds kCloudRetryPause = 2s;            // after a 503 or no answer
+
+// ---- front ----
+inline constexpr int kRetryAfterSeconds = 1;                    // the least that users wait anyway
+inline constexpr milliseconds kStateSilence = 6s;               // without any answer a node can't take requests
+inline constexpr int kConflictsMost = 4;                        // tries of a cancellation against placements
+inline constexpr std::size_t kTerminalCacheMost = 4096;         // finished jobs whose answers a node keeps
+
+}  // namespace foxshunt::constants
--- /dev/null
+++ b/src/control/engine.h
@@ -0,0 +1,254 @@
+// The leader's mind: jobs, tasks, machines, leases, placements and the size of the fleet. Pure: it is told
+// events and the time, and says what to do; threads and sockets are src/node's.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "plan/planner.h"
+#include "state/client.h"
+#include "state/records.h"
+#include "wire/messages.h"
+
+namespace foxshunt::control {
+
+using plan::Amounts;
+using plan::Instant;
+using plan::Millis;
+
+// A task's placement on a machine, from the moment it is decided until it is proved gone.
+struct Run {
+  AttemptNo attempt;
+  MachineId machine;
+  SessionNo session;
+  bool durable = false;                        // written; only then may the start command be sent
+  bool halting = false;
+  double grace_s = 0;
+  Instant halt_due;                            // when the halt is sent directly, if it is still needed
+  std::optional<wire::TaskState> seen;         // as last reported
+  Instant placed;
+  std::optional<Instant> running_since;
+  plan::BookingId booking = 0;
+};
+
+struct Part {
+  Revision mark;                               // of its own key, in a job of several parts
+  AttemptNo next{1};
+  std::vector<bool> done;
+  std::uint32_t done_count = 0;
+  std::map<std::uint32_t, Run> runs;           // by the task's index in the job
+  bool dirty = false;                          // memory is ahead of the record
+  bool in_flight = false;                      // a transaction on it is under way
+
+  [[nodiscard]] bool settled() const { return !dirty && !in_flight; }
+};
+
+struct Job {
+  wire::JobSpec spec;
+  Amounts each;
+  Instant submitted;
+  std::int64_t submitted_wall_ms = 0;
+  Revision mark;                               // of live/<job>
+  std::vector<Part> parts;
+  std::uint32_t done_count = 0;
+  std::uint32_t runs_count = 0;
+  bool withdrawn = false;
+  bool had_runs = false;                       // there may be a linger/ record
+  bool reload = false;                         // a write met a record that is not the one in memory
+  Instant not_before;                          // after errors
+  int errors = 0;                              // in a row, on different machines
+  std::set<MachineId> failed_on;
+  std::map<std::uint32_t, Millis> saved;       // progress known to be saved, by task
+  std::vector<plan::BookingId> booked;         // of tasks that have not been placed
+  std::optional<Instant> planned_start;        // of its first task that waits
+  std::uint32_t late_tasks = 0;                // booked later than they should wait, or not at all
+
+  [[nodiscard]] std::uint32_t pending() const { return spec.tasks - done_count - runs_count; }
+};
+
+enum class MachineState : std::uint8_t { booting, up, draining, returning };
+
+struct Machine {
+  MachineId id;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  MachineState state = MachineState::booting;
+  Instant since;                               // rented or first heard of
+  Instant ready;                               // while booting: when it is expected
+  bool reported = false;                       // to this leader
+  bool saw_term = false;                       // its worker has seen our term: only we can renew its lease
+  SessionNo session;
+  std::uint64_t sequence = 0;
+  Instant last_report;
+  bool expired = false;                        // its last known session has certainly ended
+  std::set<TaskKey> runs;
+  bool strangers = false;                      // its newest report has tasks that we didn't place there
+  std::set<std::string> images;
+  int errors = 0;
+  std::optional<Instant> idle_since;
+  bool listed = false;
+  bool listed_failed = false;
+  Instant last_listed;
+  std::string why;                             // it is drained or returned
+};
+
+struct WriteItem {
+  enum class Kind : std::uint8_t { update, finish, forget };
+  Kind kind = Kind::update;
+  JobId job;
+  std::uint32_t part = 0;
+  std::vector<std::pair<std::uint32_t, AttemptNo>> runs;   // that the write makes durable
+};
+
+struct WriteBatch {
+  std::vector<WriteItem> items;
+  state::Txn txn;
+};
+
+struct DirectHalt {
+  MachineId machine;
+  std::string address;
+  SessionNo session;
+  std::vector<wire::Command> commands;
+};
+
+struct Takeover {
+  Term term;
+  Revision term_mark;
+  Instant others_until;          // until then older leaders may still renew workers' leases
+  std::vector<state::Entry> live;
+  std::vector<state::Entry> linger;
+  std::vector<state::Entry> parts;
+  std::int64_t wall_ms = 0;      // now, by the time of day
+};
+
+class Engine {
+ public:
+  explicit Engine(config::Settings settings);
+
+  // ---- leadership ----
+  void lead(const Takeover& takeover, Instant now);
+  void resign(const std::string& why);
+  [[nodiscard]] bool leading() const { return leading_; }
+  [[nodiscard]] Term term() const { return term_; }
+  [[nodiscard]] Revision term_mark() const { return term_mark_; }
+  // The lease was confirmed / all changes of records were known at that moment.
+  void confirm_lease(Instant when);
+  void confirm_reading(Instant when);
+  // Whether workers' reports may be answered with 200, and whether anything may be started.
+  [[nodiscard]] bool may_answer(Instant now) const;
+  [[nodiscard]] bool may_start(Instant now) const;
+
+  // ---- records ----
+  void on_job_record(const JobId& job, const wire::Value& record, Revision mark, std::int64_t wall_ms, Instant now);
+  void on_job_removed(const JobId& job, Instant now);
+  [[nodiscard]] std::optional<JobId> next_reload() const;
+  // What a fresh read of live/<job> found.
+  void on_reloaded(const JobId& job, std::optional<Revision> mark, Instant now);
+  [[nodiscard]] std::optional<WriteBatch> begin_write(Instant now);
+  void end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now);
+
+  // ---- workers ----
+  // The commands to answer with; nothing when this engine may not act for the controllers.
+  [[nodiscard]] std::optional<std::vector<wire::Command>> on_report(const wire::Report& report, Instant now);
+  [[nodiscard]] std::vector<DirectHalt> due_halts(Instant now);
+
+  // ---- cloud ----
+  void on_types(const std::vector<wire::MachineType>& types);
+  [[nodiscard]] const std::vector<wire::MachineType>& types() const { return types_; }
+  void on_machine_list(const std::vector<wire::ListedMachine>& machines, Instant now);
+  [[nodiscard]] std::optional<wire::RentRequest> next_rental(Instant now);
+  void on_rented(const wire::RentRequest& request, const std::vector<MachineId>& machines, Instant now);
+  void on_rent_refused(const wire::RentRequest& request, Instant now);
+  [[nodiscard]] std::vector<MachineId> next_returns(Instant now);
+  void on_returned(const std::vector<MachineId>& machines, Instant now);
+
+  // ---- time ----
+  // Housekeeping: expiries, overdue allocations, idle machines.
+  void tick(Instant now);
+  // Plans what is pending and places what may start now. True when something was placed.
+  bool plan_pass(Instant now);
+  [[nodiscard]] bool plan_wanted() const { return plan_wanted_; }
+  [[nodiscard]] bool writes_wanted() const { return !dirty_.empty(); }
+
+  [[nodiscard]] const std::map<JobId, Job>& jobs() const { return jobs_; }
+  [[nodiscard]] const std::map<MachineId, Machine>& machines() const { return machines_; }
+
+ private:
+  struct Supply {                     // one kind of machine that the cloud may have
+    Instant not_before;
+    Millis pause{};
+  };
+  using SupplyKey = std::tuple<std::string, std::string, bool>;   // type, zone, spot
+
+  // records
+  Job& add_job(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, Instant now);
+  void adopt_part(Job& job, std::uint32_t part, const state::PartRecord& record, Instant now);
+  void touch(Job& job, std::uint32_t part);
+  void withdraw(Job& job, Instant now);
+  void erase_job(const JobId& job);
+  void add_update(Job& job, std::uint32_t part, WriteBatch& batch);
+  // runs
+  Run* find_run(const TaskKey& task);
+  void prove_gone(Job& job, std::uint32_t index, const char* why, Instant now);
+  void halt(Job& job, std::uint32_t index, double grace_s);
+  void finish_task(Job& job, std::uint32_t index, Instant now);
+  void on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now);
+  void end_gang(Job& job, Instant now);
+  void learn_running(Job& job, Machine& machine, Run& run, std::uint32_t index, wire::TaskState state, Instant now);
+  [[nodiscard]] double save_grace(const Job& job) const;
+  // machines
+  Machine& know_machine(const MachineId& id, Instant now);
+  [[nodiscard]] const wire::MachineType* type(const std::string& name) const;
+  void refresh_plan_machine(const Machine& machine);
+  void drain(Machine& machine, const std::string& why, Instant now);
+  void forget_machine(const MachineId& id);
+  [[nodiscard]] bool usable(const Machine& machine, Instant now) const;
+  [[nodiscard]] Instant lease_end(const Machine& machine) const;
+  // planning
+  [[nodiscard]] bool allows(const wire::JobSpec& spec, const std::string& type, const std::string& zone,
+                            bool spot) const;
+  [[nodiscard]] Millis fetch_time(const wire::JobSpec& spec, const std::string& machine_type) const;
+  [[nodiscard]] Millis estimate(const Job& job) const;
+  [[nodiscard]] std::vector<Job*> planning_order(Instant now);
+  void plan_job(Job& job, Instant now);
+  bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
+  [[nodiscard]] bool room_for(const Job& job, const Machine& machine, std::uint32_t count) const;
+  [[nodiscard]] bool quota_for(const Job& job, std::uint32_t count) const;
+  [[nodiscard]] bool place_allowed(const Job& job, const Machine& machine, std::uint32_t count) const;
+  [[nodiscard]] std::vector<std::uint32_t> pending_tasks(const Job& job, std::uint32_t most) const;
+  void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
+  [[nodiscard]] Millis patience(const Job& job, Instant now) const;
+  void size_fleet(Instant now);
+
+  config::Settings settings_;
+  bool leading_ = false;
+  Term term_;
+  Revision term_mark_;
+  Instant lease_confirmed_;
+  Instant read_confirmed_;
+  Instant others_until_;
+  std::map<JobId, Job> jobs_;
+  std::map<MachineId, Machine> machines_;
+  std::set<MachineId> gone_machines_;             // returned or dead: an old list may still show them
+  std::vector<wire::MachineType> types_;
+  plan::Planner planner_;
+  std::set<std::pair<JobId, std::uint32_t>> dirty_;
+  std::set<JobId> ended_;                         // removed by us; the watch may still tell of them
+  std::map<std::string, Amounts> team_use_;       // everything placed and not proved gone
+  std::map<SupplyKey, Supply> supply_;
+  std::map<SupplyKey, std::uint64_t> wanted_;
+  std::uint64_t rentals_ = 0;
+  std::optional<wire::RentRequest> rental_;       // under way, or unanswered
+  bool plan_wanted_ = false;
+};
+
+}  // namespace foxshunt::control
--- /dev/null
+++ b/src/control/engine_fleet.cpp
@@ -0,0 +1,270 @@
+// Machines: known, up, drained, returned, lost; and what the cloud says of them.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "config/constants.h"
+#include "control/engine.h"
+#include "control/times.h"
+
+namespace foxshunt::control {
+
+Machine& Engine::know_machine(const MachineId& id, Instant now) {
+  const auto [entry, fresh] = machines_.try_emplace(id);
+  if (fresh) {
+    entry->second.id = id;
+    entry->second.since = now;
+    entry->second.ready = now;
+    entry->second.last_listed = now;
+  }
+  return entry->second;
+}
+
+const wire::MachineType* Engine::type(const std::string& name) const {
+  const auto found = std::ranges::find(types_, name, &wire::MachineType::name);
+  return found == types_.end() ? nullptr : &*found;
+}
+
+void Engine::refresh_plan_machine(const Machine& machine) {
+  const wire::MachineType* kind = type(machine.type);
+  if (kind == nullptr) return;
+  const plan::PlanMachine* known = planner_.machine(machine.id);
+  if (known != nullptr && known->ready == machine.ready) return;
+  planner_.set_machine({.id = machine.id,
+                        .type = machine.type,
+                        .zone = machine.zone,
+                        .spot = machine.spot,
+                        .capacity = Amounts::from(kind->cpus, kind->gpus, kind->ram_gb),
+                        .ready = machine.ready});
+  plan_wanted_ = true;
+}
+
+bool Engine::usable(const Machine& machine, Instant now) const {
+  // Suspects get no new work before they are lost.
+  const Millis silent = std::max(from_seconds(settings_.report_s * 2.5), from_seconds(settings_.report_s + 2));
+  return machine.state == MachineState::up && machine.reported && !machine.strangers && !machine.expired &&
+         now - machine.last_report < silent;
+}
+
+Instant Engine::lease_end(const Machine& machine) const {
+  // Whoever may answer the worker may renew its lease: this leader only, once the worker has seen its term;
+  // before that also an older leader, until its fence.
+  Instant renewed = machine.reported ? machine.last_report : Instant{};
+  if (!machine.saw_term) renewed = std::max(renewed, others_until_);
+  return renewed + lease_span(settings_);
+}
+
+void Engine::drain(Machine& machine, const std::string& why, Instant now) {
+  if (machine.state == MachineState::draining || machine.state == MachineState::returning) return;
+  spdlog::info("machine {} is drained: {}", machine.id.text(), why);
+  machine.state = MachineState::draining;
+  machine.why = why;
+  const std::set<TaskKey> runs = machine.runs;
+  for (const TaskKey& key : runs) {
+    Job& job = jobs_.at(key.job);
+    const double grace_s = save_grace(job);
+    if (job.spec.kind == wire::JobKind::gang) {
+      // An orderly stop has to reach all tasks of the gang.
+      for (Part& part : job.parts) {
+        for (auto& [index, unused] : part.runs) halt(job, index, grace_s);
+      }
+    } else {
+      halt(job, key.index, grace_s);
+    }
+  }
+  (void)now;
+  plan_wanted_ = true;
+}
+
+void Engine::forget_machine(const MachineId& id) {
+  planner_.remove_machine(id);
+  machines_.erase(id);
+  plan_wanted_ = true;
+}
+
+void Engine::on_types(const std::vector<wire::MachineType>& types) {
+  types_ = types;
+  for (const auto& [unused, machine] : machines_) refresh_plan_machine(machine);
+  plan_wanted_ = true;
+}
+
+void Engine::on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant now) {
+  if (!leading_) return;
+  for (const wire::ListedMachine& entry : listed) {
+    if (gone_machines_.contains(entry.id)) continue;   // an old list
+    const bool fresh = !machines_.contains(entry.id);
+    Machine& machine = know_machine(entry.id, now);
+    machine.listed = true;
+    machine.last_listed = now;
+    if (machine.type.empty()) {
+      machine.type = entry.type;
+      machine.zone = entry.zone;
+      machine.spot = entry.spot;
+    }
+    if (machine.address.empty()) machine.address = entry.address;
+    if (fresh) {
+      machine.since = now - from_seconds(entry.age_s);
+      const wire::MachineType* kind = type(entry.type);
+      machine.ready = std::max(now, machine.since + from_seconds(kind == nullptr ? 0 : kind->boot_s));
+      spdlog::info("machine {} ({} in {}{}) is listed", entry.id.text(), entry.type, entry.zone, entry.spot ? ", spot" : "");
+    }
+    if (!machine.reported) refresh_plan_machine(machine);
+    if (entry.state == wire::ListedState::failed && machine.state != MachineState::returning) {
+      spdlog::info("machine {} has failed", entry.id.text());
+      machine.listed_failed = true;
+      machine.state = MachineState::returning;
+      machine.why = "it has failed";
+    }
+  }
+}
+
+std::optional<wire::RentRequest> Engine::next_rental(Instant now) {
+  if (!may_start(now) || !settings_.operators.may_rent) return std::nullopt;
+  if (rental_) return rental_;   // unanswered: the same request tells what became of it
+  for (auto at = wanted_.begin(); at != wanted_.end(); at = wanted_.erase(at)) {
+    const auto& [key, count] = *at;
+    if (count == 0) continue;
+    const auto& [type_name, zone, spot] = key;
+    // A request's name is never used again: terms only grow.
+    rental_ = wire::RentRequest{.request = "fox-" + std::to_string(term_.number()) + "-" + std::to_string(++rentals_),
+                                .type = type_name,
+                                .zone = zone,
+                                .spot = spot,
+                                .count = std::min(count, constants::kRentCountMost)};
+    wanted_.erase(at);
+    return rental_;
+  }
+  return std::nullopt;
+}
+
+void Engine::on_rented(const wire::RentRequest& request, const std::vector<MachineId>& rented, Instant now) {
+  if (!leading_ || !rental_ || rental_->request != request.request) return;
+  rental_.reset();
+  const wire::MachineType* kind = type(request.type);
+  for (const MachineId& id : rented) {
+    Machine& machine = know_machine(id, now);
+    if (machine.reported) continue;
+    machine.type = request.type;
+    machine.zone = request.zone;
+    machine.spot = request.spot;
+    machine.since = now;
+    machine.ready = now + from_seconds(kind == nullptr ? 0 : kind->boot_s);
+    refresh_plan_machine(machine);
+  }
+  Supply& supply = supply_[{request.type, request.zone, request.spot}];
+  if (rented.size() < request.count) {
+    supply.pause = std::clamp(supply.pause * 2, constants::kCapacityPause, constants::kCapacityPauseMost);
+    supply.not_before = now + supply.pause;
+  } else {
+    supply.pause = Millis(0);
+  }
+  spdlog::info("rented {} of {} {} in {}{}", rented.size(), request.count, request.type, request.zone,
+               request.spot ? ", spot" : "");
+  plan_wanted_ = true;
+}
+
+void Engine::on_rent_refused(const wire::RentRequest& request, Instant now) {
+  if (!rental_ || rental_->request != request.request) return;
+  rental_.reset();
+  Supply& supply = supply_[{request.type, request.zone, request.spot}];
+  supply.pause = std::clamp(supply.pause * 2, constants::kCapacityPause, constants::kCapacityPauseMost);
+  supply.not_before = now + supply.pause;
+  spdlog::info("no {} in {}{} to rent; asked again after {:.0f} s", request.type, request.zone,
+               request.spot ? ", spot" : "", to_seconds(supply.pause));
+  plan_wanted_ = true;
+}
+
+std::vector<MachineId> Engine::next_returns(Instant now) {
+  std::vector<MachineId> names;
+  if (!may_start(now)) return names;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.state == MachineState::returning && names.size() < constants::kReturnNamesMost) names.push_back(id);
+  }
+  return names;
+}
+
+void Engine::on_returned(const std::vector<MachineId>& names, Instant now) {
+  if (!leading_) return;
+  for (const MachineId& id : names) {
+    const auto entry = machines_.find(id);
+    if (entry == machines_.end()) continue;
+    spdlog::info("machine {} is returned: {}", id.text(), entry->second.why);
+    gone_machines_.insert(id);
+    const std::set<TaskKey> runs = entry->second.runs;
+    for (const TaskKey& key : runs) {
+      Job& job = jobs_.at(key.job);
+      prove_gone(job, key.index, "its machine was returned", now);
+      if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+    }
+    forget_machine(id);
+  }
+}
+
+void Engine::tick(Instant now) {
+  if (!leading_) return;
+  planner_.forget_before(now);
+  const Millis idle_most = settings_.operators.idle_return_s > 0 ? from_seconds(settings_.operators.idle_return_s)
+                                                                  : constants::kReturnIdle;
+  std::vector<MachineId> forgotten;
+  for (auto& [id, machine] : machines_) {
+    const wire::MachineType* kind = type(machine.type);
+    // Expiry: nobody can have renewed its lease since.
+    if (!machine.expired && machine.state != MachineState::booting && now > lease_end(machine)) {
+      machine.expired = true;
+      const std::set<TaskKey> runs = machine.runs;
+      if (!runs.empty() || machine.reported) {
+        spdlog::info("machine {} is silent, its lease has ended with {} tasks", id.text(), runs.size());
+      }
+      for (const TaskKey& key : runs) {
+        Job& job = jobs_.at(key.job);
+        prove_gone(job, key.index, "the machine's lease ended", now);
+        if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+      }
+    }
+    // A machine of a record that never reported: its tasks count until its lease can't have been renewed.
+    if (machine.state == MachineState::booting && !machine.runs.empty() && now > lease_end(machine)) {
+      const std::set<TaskKey> runs = machine.runs;
+      for (const TaskKey& key : runs) {
+        Job& job = jobs_.at(key.job);
+        prove_gone(job, key.index, "no leader has heard of its machine", now);
+        if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+      }
+    }
+    const bool idle = machine.runs.empty();
+    if (machine.state == MachineState::booting && idle && kind != nullptr &&
+        now - machine.since > from_seconds(kind->boot_s * constants::kBootLost)) {
+      machine.state = MachineState::returning;
+      machine.why = "it did not come up";
+      continue;
+    }
+    if (machine.state == MachineState::draining && idle) {
+      machine.state = MachineState::returning;
+      continue;
+    }
+    // Dead machines stay listed for a while; one that is neither heard nor listed no longer exists.
+    const Millis unlisted = from_seconds(settings_.cloud_list_lag_s * 3) + constants::kListEvery * 4;
+    if (idle && machine.expired && now - machine.last_report > lease_span(settings_) * 2) {
+      machine.state = MachineState::returning;
+      if (machine.why.empty()) machine.why = "it is silent";
+      continue;
+    }
+    if (idle && !machine.reported && machine.type.empty() && now - machine.last_listed > unlisted) {
+      forgotten.push_back(id);
+      continue;
+    }
+    // Idle machines cost; one that a waiting task is booked on is not idle.
+    const plan::ResourceSet* use = planner_.use_of(id);
+    const bool booked = use != nullptr && !use->of(0).slots().empty();
+    if (!idle || booked || machine.state != MachineState::up) {
+      machine.idle_since.reset();
+    } else if (!machine.idle_since) {
+      machine.idle_since = now;
+    } else if (settings_.operators.may_return && now - *machine.idle_since > idle_most && may_start(now)) {
+      machine.state = MachineState::returning;
+      machine.why = "it is idle";
+    }
+  }
+  for (const MachineId& id : forgotten) forget_machine(id);
+}
+
+}  // namespace foxshunt::control
--- /dev/null
+++ b/src/control/engine_plan.cpp
@@ -0,0 +1,298 @@
+// What runs where and when: bookings, placements, and how many machines that takes.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "config/constants.h"
+#include "control/engine.h"
+#include "control/times.h"
+
+namespace foxshunt::control {
+
+bool Engine::allows(const wire::JobSpec& spec, const std::string& type_name, const std::string& zone, bool spot) const {
+  if (spot && !spec.spot) return false;
+  if (!spec.zone.empty() && spec.zone != zone) return false;
+  return spec.types.empty() || std::ranges::find(spec.types, type_name) != spec.types.end();
+}
+
+Millis Engine::fetch_time(const wire::JobSpec& spec, const std::string& machine_type) const {
+  const wire::MachineType* kind = type(machine_type);
+  if (kind == nullptr || kind->fetch_gb_per_s <= 0) return Millis(0);
+  return from_seconds(spec.image_gb / kind->fetch_gb_per_s);
+}
+
+Millis Engine::estimate(const Job& job) const {
+  if (job.spec.kind == wire::JobKind::service || job.spec.estimate_s <= 0) return constants::kPlanHorizon;
+  return std::max(Millis(1000), std::min(from_seconds(job.spec.estimate_s), constants::kPlanHorizon));
+}
+
+std::vector<Job*> Engine::planning_order(Instant now) {
+  // What fits a team's guarantee, in order of submission, goes before what is borrowed; then by priority.
+  struct Entry {
+    Job* job;
+    bool borrowed;
+  };
+  std::vector<Entry> order;
+  std::map<std::string, std::vector<Job*>> by_team;
+  for (auto& [unused, job] : jobs_) {
+    if (!job.withdrawn) by_team[job.spec.team].push_back(&job);
+  }
+  for (auto& [team_name, jobs] : by_team) {
+    std::ranges::sort(jobs, {}, [](const Job* job) { return std::tie(job->submitted, job->spec.id); });
+    const config::Team* team = settings_.team(team_name);
+    double cpus = 0;
+    double gpus = 0;
+    for (Job* job : jobs) {
+      const double tasks = job->spec.tasks - job->done_count;
+      cpus += job->spec.cpus * tasks;
+      gpus += job->spec.gpus * tasks;
+      const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
+      if (job->pending() > 0 && job->not_before <= now) order.push_back({.job = job, .borrowed = !within});
+    }
+  }
+  std::ranges::sort(order, [](const Entry& a, const Entry& b) {
+    return std::tuple(a.borrowed, -static_cast<int>(a.job->spec.priority), a.job->submitted, a.job->spec.id) <
+           std::tuple(b.borrowed, -static_cast<int>(b.job->spec.priority), b.job->submitted, b.job->spec.id);
+  });
+  std::vector<Job*> jobs;
+  for (const Entry& entry : order) jobs.push_back(entry.job);
+  return jobs;
+}
+
+Millis Engine::patience(const Job& job, Instant now) const {
+  // How long its tasks may wait from now on before machines are rented for them.
+  if (job.spec.deadline_s) {
+    const Instant latest = job.submitted + from_seconds(*job.spec.deadline_s) - estimate(job) * 3 / 2;
+    return std::max(Millis(0), latest - now);
+  }
+  return Millis(0);
+}
+
+bool Engine::plan_pass(Instant now) {
+  if (!leading_) return false;
+  plan_wanted_ = false;
+  planner_.forget_before(now);
+  // An overrunning booking is extended by its estimate; what was booked behind it is planned anew below.
+  for (auto& [unused, job] : jobs_) {
+    for (Part& part : job.parts) {
+      for (auto& [index, run] : part.runs) {
+        const plan::Booking* booking = planner_.booking(run.booking);
+        if (booking != nullptr && booking->stop <= now + constants::kTick) {
+          planner_.extend(run.booking, now + estimate(job));
+        }
+      }
+    }
+    for (const plan::BookingId booking : job.booked) planner_.revoke(booking);
+    job.booked.clear();
+    job.planned_start.reset();
+    job.late_tasks = 0;
+  }
+  bool placed = false;
+  for (Job* job : planning_order(now)) {
+    const std::uint32_t before = job->runs_count;
+    plan_job(*job, now);
+    placed = placed || job->runs_count != before;
+  }
+  size_fleet(now);
+  return placed;
+}
+
+void Engine::plan_job(Job& job, Instant now) {
+  // A gang begins again only when nothing of its earlier attempt is left.
+  const bool gang = job.spec.kind == wire::JobKind::gang;
+  if (gang && job.runs_count > 0) return;
+  plan::Request request;
+  request.team = job.spec.team;
+  request.each = job.each;
+  request.count = gang ? job.pending() : std::min<std::uint32_t>(job.pending(), constants::kTasksPlannedPerPass);
+  request.duration = estimate(job);
+  request.from = now;
+  request.together = gang;
+  request.one_zone = job.spec.one_zone;
+  if (job.spec.spread) request.zone_most = (job.spec.tasks + 1) / 2;
+  for (const Part& part : job.parts) {
+    for (const auto& [unused, run] : part.runs) {
+      const auto machine = machines_.find(run.machine);
+      if (machine == machines_.end()) continue;
+      ++request.zone_taken[machine->second.zone];
+      if (job.spec.one_zone) request.zone_bound = machine->second.zone;
+    }
+  }
+  request.suits = [&](const plan::PlanMachine& info) -> std::optional<Millis> {
+    const Machine& machine = machines_.at(info.id);
+    if (!allows(job.spec, info.type, info.zone, info.spot)) return std::nullopt;
+    if (job.failed_on.contains(info.id)) return std::nullopt;
+    if (machine.state != MachineState::booting && !usable(machine, now)) return std::nullopt;
+    if (machine.state == MachineState::booting && machine.ready < now) {
+      // Late: how late nobody knows, so it is expected a moment ahead, again and again.
+      return fetch_time(job.spec, info.type) + constants::kAllocationLimit;
+    }
+    return machine.images.contains(job.spec.image) ? Millis(0) : fetch_time(job.spec, info.type);
+  };
+  const std::vector<plan::Placing> placings = planner_.plan(request);
+  std::uint32_t planned = 0;
+  const Instant patient_until = now + patience(job, now);
+  for (const plan::Placing& placing : placings) {
+    planned += placing.count;
+    if (placing.start > patient_until + constants::kTick) job.late_tasks += placing.count;
+    if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
+  }
+  if (planned < request.count) job.late_tasks += request.count - planned;
+  if (place_due(job, placings, now) && gang) return;
+  for (const plan::Placing& placing : placings) {
+    if (placing.start <= now && machines_.at(placing.machine).state == MachineState::up) continue;
+    job.booked.push_back(planner_.book({.machine = placing.machine,
+                                        .team = job.spec.team,
+                                        .amounts = job.each.times(placing.count),
+                                        .start = placing.start,
+                                        .stop = placing.stop}));
+  }
+}
+
+std::vector<std::uint32_t> Engine::pending_tasks(const Job& job, std::uint32_t most) const {
+  std::vector<std::uint32_t> tasks;
+  for (std::uint32_t number = 0; number < job.parts.size() && tasks.size() < most; ++number) {
+    const Part& part = job.parts[number];
+    if (part.done_count + part.runs.size() == part.done.size()) continue;
+    for (std::uint32_t at = 0; at < part.done.size() && tasks.size() < most; ++at) {
+      const std::uint32_t index = number * constants::kTasksPerPart + at;
+      if (!part.done[at] && !part.runs.contains(index)) tasks.push_back(index);
+    }
+  }
+  return tasks;
+}
+
+bool Engine::room_for(const Job& job, const Machine& machine, std::uint32_t count) const {
+  const wire::MachineType* kind = type(machine.type);
+  if (kind == nullptr) return false;
+  Amounts used = job.each.times(count);
+  for (const TaskKey& key : machine.runs) used += jobs_.at(key.job).each;
+  return used.fits(Amounts::from(kind->cpus, kind->gpus, kind->ram_gb));
+}
+
+bool Engine::quota_for(const Job& job, std::uint32_t count) const {
+  const config::Team* team = settings_.team(job.spec.team);
+  if (team == nullptr) return false;
+  Amounts used = job.each.times(count);
+  if (const auto known = team_use_.find(job.spec.team); known != team_use_.end()) used += known->second;
+  const Amounts limit = Amounts::from(team->cpus_max, team->gpus_max, 0);
+  return (team->cpus_max <= 0 || used.of[0] <= limit.of[0]) && (team->gpus_max <= 0 || used.of[1] <= limit.of[1]);
+}
+
+bool Engine::place_allowed(const Job& job, const Machine& machine, std::uint32_t count) const {
+  if (!allows(job.spec, machine.type, machine.zone, machine.spot)) return false;
+  if (!job.spec.one_zone && !job.spec.spread) return true;
+  std::uint32_t same = count;
+  for (const Part& part : job.parts) {
+    for (const auto& [unused, run] : part.runs) {
+      const auto other = machines_.find(run.machine);
+      // Where a machine that nobody has heard of stands is not known.
+      if (other == machines_.end() || other->second.zone.empty()) return false;
+      if (other->second.zone == machine.zone) {
+        ++same;
+      } else if (job.spec.one_zone) {
+        return false;
+      }
+    }
+  }
+  return !job.spec.spread || same <= (job.spec.tasks + 1) / 2;
+}
+
+void Engine::place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now) {
+  Part& part = job.parts[index / constants::kTasksPerPart];
+  Run run{.attempt = attempt, .machine = machine.id, .session = machine.session};
+  run.placed = now;
+  Millis left = estimate(job);
+  if (const auto saved = job.saved.find(index); saved != job.saved.end()) {
+    left = std::max(left - saved->second, constants::kAllocationLimit);
+  }
+  if (!machine.images.contains(job.spec.image)) left += fetch_time(job.spec, machine.type);
+  run.booking = planner_.book(
+      {.machine = machine.id, .team = job.spec.team, .amounts = job.each, .start = now, .stop = now + left});
+  machine.runs.insert({job.spec.id, index});
+  machine.idle_since.reset();
+  team_use_[job.spec.team] += job.each;
+  part.runs.emplace(index, run);
+  part.next = std::max(part.next, attempt.next());
+  ++job.runs_count;
+  touch(job, index / constants::kTasksPerPart);
+  spdlog::info("task {} attempt {} is placed on {}", TaskKey{job.spec.id, index}.text(), attempt.number(), machine.id.text());
+}
+
+bool Engine::place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now) {
+  if (!may_start(now)) return false;
+  if (job.spec.kind == wire::JobKind::gang) {
+    for (const plan::Placing& placing : placings) {
+      const Machine& machine = machines_.at(placing.machine);
+      if (placing.start > now || !usable(machine, now) || !room_for(job, machine, placing.count) ||
+          !place_allowed(job, machine, placing.count)) {
+        return false;
+      }
+    }
+    if (placings.empty() || !quota_for(job, job.pending())) return false;
+    AttemptNo attempt{1};
+    for (const Part& part : job.parts) attempt = std::max(attempt, part.next);
+    const std::vector<std::uint32_t> tasks = pending_tasks(job, job.spec.tasks);
+    auto next = tasks.begin();
+    for (const plan::Placing& placing : placings) {
+      for (std::uint32_t at = 0; at < placing.count && next != tasks.end(); ++at, ++next) {
+        place(job, *next, attempt, machines_.at(placing.machine), now);
+      }
+    }
+    return true;
+  }
+  bool any = false;
+  for (const plan::Placing& placing : placings) {
+    Machine& machine = machines_.at(placing.machine);
+    if (placing.start > now || !usable(machine, now)) continue;
+    for (const std::uint32_t index : pending_tasks(job, placing.count)) {
+      if (!room_for(job, machine, 1) || !quota_for(job, 1) || !place_allowed(job, machine, 1)) break;
+      place(job, index, job.parts[index / constants::kTasksPerPart].next, machine, now);
+      any = true;
+    }
+  }
+  return any;
+}
+
+void Engine::size_fleet(Instant now) {
+  wanted_.clear();
+  if (types_.empty() || !settings_.operators.may_rent) return;
+  // Tasks that would wait too long, by what they take; each kind of machine that could run them has a price
+  // for one task.
+  std::map<SupplyKey, double> shares;   // machines, of which a task may be a part
+  for (const Job* job : planning_order(now)) {
+    if (job->late_tasks == 0) continue;
+    std::uint32_t late = job->late_tasks;
+    // No more than the team's limit lets run at once.
+    while (late > 0 && !quota_for(*job, late)) --late;
+    if (late == 0) continue;
+    const SupplyKey* best = nullptr;
+    SupplyKey best_key;
+    double best_price = 0;
+    std::int64_t best_fit = 0;
+    for (const wire::MachineType& kind : types_) {
+      const std::int64_t fit = job->each.count_in(Amounts::from(kind.cpus, kind.gpus, kind.ram_gb));
+      if (fit <= 0) continue;
+      for (const std::string& zone : kind.zones) {
+        for (const bool spot : {true, false}) {
+          if (!allows(job->spec, kind.name, zone, spot)) continue;
+          SupplyKey key{kind.name, zone, spot};
+          if (const auto supply = supply_.find(key); supply != supply_.end() && now < supply->second.not_before) continue;
+          const double price = (spot ? kind.spot_price : kind.price) / static_cast<double>(std::min<std::int64_t>(fit, late));
+          if (best == nullptr || price < best_price) {
+            best_key = std::move(key);
+            best = &best_key;
+            best_price = price;
+            best_fit = fit;
+          }
+        }
+      }
+    }
+    if (best == nullptr) continue;
+    shares[best_key] += static_cast<double>(late) / static_cast<double>(best_fit);
+  }
+  for (const auto& [key, share] : shares) wanted_[key] = static_cast<std::uint64_t>(std::ceil(share));
+}
+
+}  // namespace foxshunt::control
--- /dev/null
+++ b/src/control/engine_workers.cpp
@@ -0,0 +1,290 @@
+// What workers report, and what they are told.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "config/constants.h"
+#include "control/engine.h"
+#include "control/times.h"
+
+namespace foxshunt::control {
+
+using wire::Command;
+using wire::CommandKind;
+using wire::EndReason;
+using wire::TaskState;
+
+Run* Engine::find_run(const TaskKey& task) {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end() || task.index >= job->second.spec.tasks) return nullptr;
+  Part& part = job->second.parts[task.index / constants::kTasksPerPart];
+  const auto run = part.runs.find(task.index);
+  return run == part.runs.end() ? nullptr : &run->second;
+}
+
+double Engine::save_grace(const Job& job) const {
+  // A little above `buryS`, so that no rounding of decimals makes it less.
+  return job.spec.checkpoint_s > 0 && !job.withdrawn ? job.spec.save_s + 0.01 : 0;
+}
+
+void Engine::prove_gone(Job& job, std::uint32_t index, const char* why, Instant now) {
+  const std::uint32_t number = index / constants::kTasksPerPart;
+  Part& part = job.parts[number];
+  const auto entry = part.runs.find(index);
+  if (entry == part.runs.end()) return;
+  const Run run = entry->second;
+  part.runs.erase(entry);
+  --job.runs_count;
+  planner_.revoke(run.booking);
+  team_use_[job.spec.team] -= job.each;
+  const TaskKey key{job.spec.id, index};
+  if (const auto machine = machines_.find(run.machine); machine != machines_.end()) machine->second.runs.erase(key);
+  spdlog::info("task {} attempt {} is off {}: {}", key.text(), run.attempt.number(), run.machine.text(), why);
+  if (run.running_since && job.spec.checkpoint_s > 0) {
+    // Whole checkpoints survive, whatever became of the machine.
+    const Millis step = from_seconds(job.spec.checkpoint_s);
+    Millis& saved = job.saved[index];
+    saved += std::max(Millis(0), now - *run.running_since) / step * step;
+  }
+  touch(job, number);
+  plan_wanted_ = true;
+}
+
+void Engine::finish_task(Job& job, std::uint32_t index, Instant now) {
+  Part& part = job.parts[index / constants::kTasksPerPart];
+  if (!part.done[index % constants::kTasksPerPart]) {
+    part.done[index % constants::kTasksPerPart] = true;
+    ++part.done_count;
+    ++job.done_count;
+  }
+  job.saved.erase(index);
+  job.errors = 0;
+  job.failed_on.clear();
+  prove_gone(job, index, "done", now);
+}
+
+void Engine::halt(Job& job, std::uint32_t index, double grace_s) {
+  Run* run = find_run({job.spec.id, index});
+  if (run == nullptr || (run->halting && run->grace_s <= grace_s)) return;
+  run->halting = true;
+  run->grace_s = grace_s;
+}
+
+void Engine::end_gang(Job& job, Instant) {
+  for (Part& part : job.parts) {
+    for (auto& [index, run] : part.runs) {
+      if (!run.halting) halt(job, index, 0);
+    }
+  }
+}
+
+void Engine::on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now) {
+  const std::uint32_t index = task.task.index;
+  const Run run = *find_run(task.task);
+  if (task.reason != EndReason::no_room && task.reason != EndReason::in_use && task.reason != EndReason::unknown &&
+      run.seen && *run.seen != TaskState::fetching) {
+    machine.images.insert(job.spec.image);
+  }
+  switch (task.reason) {
+    case EndReason::done:
+      machine.errors = 0;
+      // A service's replica has no end of its own: it is started again.
+      if (job.spec.kind == wire::JobKind::service || job.withdrawn) break;
+      finish_task(job, index, now);
+      return;
+    case EndReason::stopped:
+      if (task.saved && run.running_since) {
+        Millis& saved = job.saved[index];
+        saved += std::max(Millis(0), now - *run.running_since);
+        prove_gone(job, index, "stopped, saved", now);
+        // prove_gone added the whole checkpoints of the same span.
+        const Millis step = from_seconds(job.spec.checkpoint_s);
+        if (step > Millis(0)) job.saved[index] -= std::max(Millis(0), now - *run.running_since) / step * step;
+        if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+        return;
+      }
+      break;
+    case EndReason::error: {
+      spdlog::warn("task {} failed on {}", task.task.text(), machine.id.text());
+      job.failed_on.insert(machine.id);
+      // A job that fails wherever it runs says nothing about the machines.
+      if (job.failed_on.size() < 3) ++machine.errors;
+      const Millis pause = std::min(constants::kErrorPauseMost, constants::kErrorPause * (1 << std::min(job.errors, 5)));
+      if (++job.errors > 1) job.not_before = now + pause;
+      if (machine.errors >= constants::kMachineErrorsMost) drain(machine, "tasks fail on it", now);
+      break;
+    }
+    case EndReason::unknown:
+      job.not_before = now + constants::kErrorPause;
+      break;
+    default:
+      break;
+  }
+  prove_gone(job, index, std::string(wire::name_of(task.reason)).c_str(), now);
+  if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+}
+
+void Engine::learn_running(Job& job, Machine& machine, Run& run, std::uint32_t index, TaskState state, Instant now) {
+  if (state != TaskState::fetching) machine.images.insert(job.spec.image);
+  if (state == TaskState::running && !run.running_since) {
+    run.running_since = now;
+    planner_.revoke(run.booking);
+    Millis left = estimate(job);
+    if (const auto saved = job.saved.find(index); saved != job.saved.end()) {
+      left = std::max(left - saved->second, constants::kAllocationLimit);
+    }
+    run.booking = planner_.book({.machine = machine.id,
+                                 .team = job.spec.team,
+                                 .amounts = job.each,
+                                 .start = now,
+                                 .stop = now + left});
+    spdlog::info("task {} attempt {} runs on {}, {:.1f} s after its job's submission", TaskKey{job.spec.id, index}.text(),
+                 run.attempt.number(), machine.id.text(), to_seconds(now - job.submitted));
+  }
+  run.seen = state;
+}
+
+std::optional<std::vector<Command>> Engine::on_report(const wire::Report& report, Instant now) {
+  if (!leading_) return std::nullopt;
+  if (report.term > term_) {
+    resign("a worker has seen term " + std::to_string(report.term.number()));
+    return std::nullopt;
+  }
+  if (!may_answer(now)) return std::nullopt;
+  std::vector<Command> commands;
+  // Its return was confirmed, so this report was held up on its way.
+  if (gone_machines_.contains(report.machine)) return commands;
+  Machine& machine = know_machine(report.machine, now);
+  if (machine.reported && std::tie(report.session, report.sequence) <= std::tie(machine.session, machine.sequence)) {
+    return commands;   // held up on its way: it teaches nothing
+  }
+  if (!machine.reported || machine.state == MachineState::booting || machine.type.empty()) {
+    machine.address = report.address;
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    if (machine.state == MachineState::booting) {
+      machine.state = MachineState::up;
+      plan_wanted_ = true;
+      spdlog::info("machine {} ({} in {}{}) is up after {:.1f} s", machine.id.text(), machine.type, machine.zone,
+                   machine.spot ? ", spot" : "", to_seconds(now - machine.since));
+    }
+    machine.ready = now;
+  }
+  machine.reported = true;
+  machine.session = report.session;
+  machine.sequence = report.sequence;
+  machine.last_report = now;
+  machine.saw_term = report.term == term_;
+  machine.expired = false;
+  refresh_plan_machine(machine);
+
+  // A later session began with nothing.
+  std::vector<TaskKey> ended_sessions;
+  for (const TaskKey& key : machine.runs) {
+    if (const Run* run = find_run(key); run != nullptr && run->session < report.session) ended_sessions.push_back(key);
+  }
+  for (const TaskKey& key : ended_sessions) {
+    Job& job = jobs_.at(key.job);
+    prove_gone(job, key.index, "the machine's session ended", now);
+    if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+  }
+
+  std::set<TaskKey> present;
+  std::vector<Command> runs;
+  bool strangers = false;
+  for (const wire::TaskReport& task : report.tasks) {
+    const auto job_entry = jobs_.find(task.task.job);
+    Job* job = job_entry == jobs_.end() || task.task.index >= job_entry->second.spec.tasks ? nullptr : &job_entry->second;
+    Run* run = job == nullptr ? nullptr : find_run(task.task);
+    if (run != nullptr && (run->attempt != task.attempt || run->machine != machine.id)) run = nullptr;
+    if (run != nullptr) {
+      present.insert(task.task);
+      if (task.state != TaskState::ended) {
+        learn_running(*job, machine, *run, task.task.index, task.state, now);
+        if (run->halting) {
+          commands.push_back({.kind = CommandKind::halt, .task = task.task, .attempt = task.attempt, .grace_s = run->grace_s});
+        }
+        continue;
+      }
+      on_task_ended(*job, machine, task, now);
+    }
+    if (task.state != TaskState::ended) {
+      // Not placed here by any record: nobody wants it, and it takes room.
+      strangers = true;
+      commands.push_back({.kind = CommandKind::halt, .task = task.task, .attempt = task.attempt, .grace_s = 0});
+      continue;
+    }
+    // Forgotten by the worker only when the record says how it ended.
+    job = jobs_.contains(task.task.job) ? job : nullptr;
+    if (job == nullptr || job->withdrawn || job->parts[task.task.index / constants::kTasksPerPart].settled()) {
+      commands.push_back({.kind = CommandKind::clear, .task = task.task, .attempt = task.attempt});
+    }
+  }
+  if (strangers && !machine.strangers) spdlog::warn("machine {} has tasks that no record places there", machine.id.text());
+  machine.strangers = strangers;
+
+  std::vector<TaskKey> absent;
+  for (const TaskKey& key : machine.runs) {
+    if (!present.contains(key)) absent.push_back(key);
+  }
+  for (const TaskKey& key : absent) {
+    Run& run = *find_run(key);
+    if (!run.durable || run.session != report.session) continue;
+    Job& job = jobs_.at(key.job);
+    // The worker had seen our term when it made this report, and this report is newer than any that was
+    // answered with the start command: what is not in it does not run and will not.
+    if (machine.saw_term && (run.seen || run.halting)) {
+      prove_gone(job, key.index, run.seen ? "no longer reported" : "never started", now);
+      if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+      continue;
+    }
+    if (run.halting || !may_start(now)) continue;
+    // All tasks of a gang start, or none: each one's placement has to be durable.
+    if (job.spec.kind == wire::JobKind::gang &&
+        std::ranges::any_of(job.parts, [](const Part& part) {
+          return std::ranges::any_of(part.runs, [](const auto& entry) { return !entry.second.durable; });
+        })) {
+      continue;
+    }
+    runs.push_back({.kind = CommandKind::run, .task = key, .attempt = run.attempt});
+  }
+
+  if (report.notice_s && machine.state == MachineState::up) {
+    drain(machine, "the cloud takes it in " + std::to_string(static_cast<int>(*report.notice_s)) + " s", now);
+    for (const TaskKey& key : machine.runs) {
+      if (present.contains(key)) {
+        const Run& run = *find_run(key);
+        commands.push_back({.kind = CommandKind::halt, .task = key, .attempt = run.attempt, .grace_s = run.grace_s});
+      }
+    }
+    std::erase_if(runs, [](const Command&) { return true; });
+  }
+  commands.insert(commands.end(), runs.begin(), runs.end());
+  for (const Command& command : runs) {
+    spdlog::debug("machine {}: told to run {} attempt {}", machine.id.text(), command.task.text(), command.attempt.number());
+  }
+  return commands;
+}
+
+std::vector<DirectHalt> Engine::due_halts(Instant now) {
+  std::vector<DirectHalt> due;
+  if (!leading_) return due;
+  for (auto& [id, machine] : machines_) {
+    if (!machine.reported || machine.address.empty()) continue;
+    DirectHalt halts{.machine = id, .address = machine.address, .session = machine.session, .commands = {}};
+    for (const TaskKey& key : machine.runs) {
+      Run& run = *find_run(key);
+      if (!run.halting || run.session != machine.session || !run.seen) continue;
+      // The answer to the next report tells it too; only what that did not reach is told directly.
+      if (run.halt_due == Instant{}) run.halt_due = now + from_seconds(settings_.report_s * 1.5);
+      if (now < run.halt_due) continue;
+      run.halt_due = now + constants::kHaltRepeat;
+      halts.commands.push_back({.kind = CommandKind::halt, .task = key, .attempt = run.attempt, .grace_s = run.grace_s});
+    }
+    if (!halts.commands.empty()) due.push_back(std::move(halts));
+  }
+  return due;
+}
+
+}  // namespace foxshunt::control
--- /dev/null
+++ b/src/control/times.h
@@ -0,0 +1,28 @@
+// Durations that follow from the deploy file.
+#pragma once
+
+#include "config/constants.h"
+#include "config/settings.h"
+#include "plan/usage_vector.h"
+
+namespace foxshunt::control {
+
+inline plan::Millis from_seconds(double seconds) {
+  return std::chrono::ceil<plan::Millis>(std::chrono::duration<double>(seconds));
+}
+
+inline double to_seconds(plan::Millis span) { return std::chrono::duration<double>(span).count(); }
+
+// How long a worker's lease certainly lasts at most, by this node's clock.
+inline plan::Millis lease_span(const config::Settings& settings) {
+  return from_seconds(settings.lease_s * (1 + 2 * constants::kClockDrift)) + constants::kExpiryMargin;
+}
+
+// How long after the last moment whose changes it knows a leader may go on renewing workers' leases, so that
+// all of them have ended `cancel_s` after that moment.
+inline plan::Millis fence_span(const config::Settings& settings) {
+  const double span_s = (settings.cancel_s - settings.lease_s) * (1 - 2 * constants::kClockDrift);
+  return std::max(plan::Millis(0), from_seconds(span_s) - constants::kFenceMargin);
+}
+
+}  // namespace foxshunt::control
--- /dev/null
+++ b/src/node/cloud.cpp
@@ -0,0 +1,219 @@
+#include "node/cloud.h"
+
+#include <spdlog/spdlog.h>
+
+#include <list>
+#include <map>
+#include <thread>
+
+#include "config/constants.h"
+
+namespace foxshunt::node {
+
+CloudDuty::CloudDuty(Context& context)
+    : context_(context),
+      http_(context.cloud_address, constants::kCloudCallLimit),
+      state_(context.state_address, context.budget, state::Urgency::duty) {}
+
+CloudDuty::Answer CloudDuty::call(const std::string& method, const std::string& path, const wire::Value* body) {
+  // Calls are spaced, as several nodes may ask for types at once.
+  if (const auto wait = next_call_ - net::Clock::now(); wait > net::Clock::duration::zero()) {
+    if (!pause(stop_, std::chrono::ceil<std::chrono::milliseconds>(wait))) return {};
+  }
+  next_call_ = net::Clock::now() + std::chrono::duration_cast<net::Clock::duration>(
+                                       std::chrono::duration<double>(1.0 / context_.settings.cloud_rps));
+  const auto answer =
+      http_.call({.method = method, .path = path, .body = body == nullptr ? std::string() : wire::encode(*body)},
+                 net::Clock::now() + constants::kCloudCallLimit);
+  Answer result;
+  if (answer) {
+    result.status = answer->status;
+    try {
+      if (!answer->body.empty()) result.body = wire::decode(answer->body);
+    } catch (const wire::Malformed& error) {
+      spdlog::warn("cloud: {} {}: malformed answer: {}", method, path, error.what());
+      result.status = 0;
+    }
+  }
+  const std::string* why = result.body["error"].as_text();
+  const bool capacity = why != nullptr && *why == "no capacity";
+  if (result.status != 200 && !capacity) {
+    spdlog::warn("cloud: {} {}: {}", method, path, result.status == 0 ? "no answer" : "status " + std::to_string(result.status));
+    next_try_ = net::Clock::now() + constants::kCloudRetryPause;
+  }
+  return result;
+}
+
+void CloudDuty::read_types() {
+  const state::GetResult kept = state_.get(state::kTypesKey, net::Clock::now() + constants::kStateCallLimit);
+  if (kept.answer != state::Answer::ok) return;
+  context_.heard_state();
+  try {
+    publish_types(wire::machine_types_from(kept.entry.data));
+    published_ = true;
+  } catch (const wire::Malformed& error) {
+    spdlog::error("record of machine types cannot be read: {}", error.what());
+  }
+}
+
+void CloudDuty::publish_types(const std::vector<wire::MachineType>& types) {
+  {
+    const std::lock_guard lock(context_.view_mutex);
+    context_.types = types;
+  }
+  const std::lock_guard lock(context_.engine_mutex);
+  context_.engine.on_types(types);
+}
+
+bool CloudDuty::fetch_types() {
+  const Answer answer = call("GET", "/machine_types", nullptr);
+  if (answer.status != 200) return false;
+  try {
+    const std::vector<wire::MachineType> types = wire::machine_types_from(answer.body);
+    if (types.empty()) throw wire::Malformed("no types");
+    publish_types(types);
+    if (!published_) {
+      state::Txn txn;
+      txn.changes = {{.key = state::kTypesKey, .data = wire::to_value(types), .lease = {}}};
+      published_ = state_.txn(txn, net::Clock::now() + constants::kStateCallLimit).answer == state::Answer::ok;
+    }
+    return true;
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("cloud: machine types: {}", error.what());
+    return false;
+  }
+}
+
+void CloudDuty::list() {
+  std::vector<wire::ListedMachine> machines;
+  std::string from;
+  while (true) {
+    std::string path = "/machines?most=" + std::to_string(constants::kListMost);
+    if (!from.empty()) path += "&from=" + from;
+    const Answer answer = call("GET", path, nullptr);
+    if (answer.status != 200) return;
+    try {
+      const wire::MachinePage page = wire::machine_page_from(answer.body);
+      machines.insert(machines.end(), page.machines.begin(), page.machines.end());
+      if (!page.more || page.machines.empty()) break;
+      from = page.machines.back().id.text();
+    } catch (const wire::Malformed& error) {
+      spdlog::warn("cloud: machines: {}", error.what());
+      return;
+    }
+  }
+  next_list_ = net::Clock::now() + constants::kListEvery;
+  const std::lock_guard lock(context_.engine_mutex);
+  context_.engine.on_machine_list(machines, now());
+}
+
+void CloudDuty::rent() {
+  std::optional<wire::RentRequest> request;
+  {
+    const std::lock_guard lock(context_.engine_mutex);
+    request = context_.engine.next_rental(now());
+  }
+  if (!request) return;
+  const wire::Value body = wire::to_value(*request);
+  const Answer answer = call("POST", "/machines", &body);
+  const std::string* why = answer.body["error"].as_text();
+  const std::lock_guard lock(context_.engine_mutex);
+  if (answer.status == 200) {
+    try {
+      context_.engine.on_rented(*request, wire::machine_names_from(answer.body), now());
+    } catch (const wire::Malformed& error) {
+      spdlog::warn("cloud: rental {}: {}", request->request, error.what());
+    }
+  } else if ((answer.status == 503 && why != nullptr && *why == "no capacity") || answer.status == 400) {
+    context_.engine.on_rent_refused(*request, now());
+  }
+  // Otherwise the rental may have been carried out: the same request is sent again until its answer is known.
+}
+
+void CloudDuty::give_back() {
+  std::vector<MachineId> names;
+  {
+    const std::lock_guard lock(context_.engine_mutex);
+    names = context_.engine.next_returns(now());
+  }
+  if (names.empty()) return;
+  const wire::Value body = wire::machine_names(names);
+  const Answer answer = call("POST", "/machines/return", &body);
+  if (answer.status != 200) return;
+  const std::lock_guard lock(context_.engine_mutex);
+  context_.engine.on_returned(names, now());
+  context_.plan_signal.raise();
+}
+
+void CloudDuty::run(const std::stop_token& stop) {
+  stop_ = stop;
+  while (!stop.stop_requested()) {
+    context_.cloud_signal.wait(stop, constants::kKeepLooking);
+    bool leading = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      leading = context_.engine.leading();
+    }
+    bool known = false;
+    {
+      const std::lock_guard lock(context_.view_mutex);
+      known = !context_.types.empty();
+    }
+    if (!known) read_types();
+    if (net::Clock::now() < next_try_) {
+      pause(stop, constants::kTick);
+      continue;
+    }
+    if ((!known && !published_) || (leading && net::Clock::now() >= next_types_)) {
+      if (fetch_types()) next_types_ = net::Clock::now() + constants::kTypesEvery;
+    }
+    if (!leading) continue;
+    give_back();
+    rent();
+    if (net::Clock::now() >= next_list_) list();
+  }
+}
+
+void HaltDuty::send(const control::DirectHalt& halt, Term term) {
+  const auto address = net::parse_address(halt.address);
+  if (!address) return;
+  net::HttpClient client(*address, constants::kHaltCallLimit);
+  const auto answer = client.call({.method = "POST",
+                                   .path = "/commands",
+                                   .body = wire::encode(wire::direct_commands(term, halt.session, halt.commands))},
+                                  net::Clock::now() + constants::kHaltCallLimit);
+  // What became of it is learnt from the worker's next report, which alone is proof.
+  spdlog::debug("machine {}: told directly to stop {} tasks: {}", halt.machine.text(), halt.commands.size(),
+                answer ? std::to_string(answer->status) : "no answer");
+}
+
+void HaltDuty::run(const std::stop_token& stop) {
+  struct Sender {
+    std::atomic<bool> done{false};
+    std::jthread thread;
+  };
+  std::map<MachineId, std::unique_ptr<Sender>> senders;
+  while (pause(stop, constants::kTick)) {
+    std::erase_if(senders, [](const auto& entry) { return entry.second->done.load(); });
+    std::vector<control::DirectHalt> due;
+    Term term;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      due = context_.engine.due_halts(now());
+      term = context_.engine.term();
+    }
+    for (control::DirectHalt& halt : due) {
+      const MachineId machine = halt.machine;
+      if (senders.contains(machine)) continue;
+      auto sender = std::make_unique<Sender>();
+      Sender* const raw = sender.get();
+      sender->thread = std::jthread([this, raw, halt = std::move(halt), term] {
+        send(halt, term);
+        raw->done = true;
+      });
+      senders.emplace(machine, std::move(sender));
+    }
+  }
+}
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/cloud.h
@@ -0,0 +1,50 @@
+// The cloud: lists, rentals and returns of whoever leads, within the call budget.
+#pragma once
+
+#include "net/http.h"
+#include "node/context.h"
+#include "state/client.h"
+
+namespace foxshunt::node {
+
+class CloudDuty {
+ public:
+  explicit CloudDuty(Context& context);
+  void run(const std::stop_token& stop);
+
+ private:
+  struct Answer {
+    int status = 0;   // 0: none
+    wire::Value body;
+  };
+  Answer call(const std::string& method, const std::string& path, const wire::Value* body);
+  bool fetch_types();
+  void read_types();
+  void publish_types(const std::vector<wire::MachineType>& types);
+  void list();
+  void rent();
+  void give_back();
+
+  Context& context_;
+  net::HttpClient http_;
+  state::Client state_;
+  net::Clock::time_point next_call_;
+  net::Clock::time_point next_list_;
+  net::Clock::time_point next_types_;
+  net::Clock::time_point next_try_;    // after trouble
+  bool published_ = false;
+  std::stop_token stop_;
+};
+
+// Tells workers directly to stop tasks, one thread a worker, so that a silent one delays no other.
+class HaltDuty {
+ public:
+  explicit HaltDuty(Context& context) : context_(context) {}
+  void run(const std::stop_token& stop);
+
+ private:
+  void send(const control::DirectHalt& halt, Term term);
+  Context& context_;
+};
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/context.cpp
@@ -0,0 +1,50 @@
+#include "node/context.h"
+
+#include "config/constants.h"
+
+namespace foxshunt::node {
+namespace {
+
+net::Address address_or_throw(const std::string& text, const char* field) {
+  const auto address = net::parse_address(text);
+  if (!address) throw config::BadSettings(std::string(field) + ": must be an IPv4 address with a port");
+  return *address;
+}
+
+}  // namespace
+
+void Signal::raise() {
+  {
+    const std::lock_guard lock(mutex_);
+    up_ = true;
+  }
+  raised_.notify_one();
+}
+
+void Signal::wait(const std::stop_token& stop, std::chrono::milliseconds most) {
+  std::unique_lock lock(mutex_);
+  raised_.wait_for(lock, stop, most, [this] { return up_; });
+  up_ = false;
+}
+
+bool pause(const std::stop_token& stop, std::chrono::milliseconds span) {
+  std::mutex mutex;
+  std::condition_variable_any never;
+  std::unique_lock lock(mutex);
+  never.wait_for(lock, stop, span, [] { return false; });
+  return !stop.stop_requested();
+}
+
+Context::Context(const config::Settings& from)
+    : settings(from),
+      state_address(address_or_throw(from.state, "outside.state")),
+      cloud_address(address_or_throw(from.cloud, "outside.cloud")),
+      budget(from.state_rps, from.state_write_rps, 1.0 / static_cast<double>(std::max<std::size_t>(1, from.nodes))),
+      engine(from) {}
+
+bool Context::state_in_reach() const {
+  const net::Clock::time_point heard{net::Clock::duration(state_heard.load())};
+  return net::Clock::now() - heard < constants::kStateSilence;
+}
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/context.h
@@ -0,0 +1,64 @@
+// What the duties of one node share.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <stop_token>
+
+#include "config/settings.h"
+#include "control/engine.h"
+#include "net/socket.h"
+#include "state/budget.h"
+
+namespace foxshunt::node {
+
+inline plan::Instant now() { return std::chrono::floor<plan::Millis>(net::Clock::now()); }
+inline std::int64_t wall_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+// A flag that one duty raises and another waits for.
+class Signal {
+ public:
+  void raise();
+  // Waits until it is raised, the time is over or a stop is asked for; then lowers it.
+  void wait(const std::stop_token& stop, std::chrono::milliseconds most);
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable_any raised_;
+  bool up_ = false;
+};
+
+// Sleeps unless a stop is asked for; false then.
+bool pause(const std::stop_token& stop, std::chrono::milliseconds span);
+
+struct Context {
+  explicit Context(const config::Settings& from);
+
+  config::Settings settings;
+  net::Address state_address;
+  net::Address cloud_address;
+  state::RateBudget budget;
+
+  std::mutex engine_mutex;   // never held across I/O
+  control::Engine engine;
+  Signal plan_signal;
+  Signal write_signal;
+  Signal cloud_signal;
+  Signal follow_signal;
+  Revision follow_from;      // with engine_mutex: up to here the leader knows the records
+
+  std::mutex view_mutex;
+  NodeName leader;                          // as last read; empty: none
+  Term term;
+  std::vector<wire::MachineType> types;     // for judging submissions
+
+  std::atomic<net::Clock::rep> state_heard{0};   // when the state service last answered
+
+  void heard_state() { state_heard = net::Clock::now().time_since_epoch().count(); }
+  [[nodiscard]] bool state_in_reach() const;
+};
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/front.h
@@ -0,0 +1,55 @@
+// What users ask: answered by any node, straight from the state service.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "net/http.h"
+#include "node/context.h"
+#include "state/client.h"
+
+namespace foxshunt::node {
+
+class Front {
+ public:
+  explicit Front(Context& context) : context_(context) {}
+
+  [[nodiscard]] net::HttpResponse submit(const std::string& body);
+  [[nodiscard]] net::HttpResponse status(const std::string& id_text);
+  [[nodiscard]] net::HttpResponse abort(const std::string& id_text);
+  [[nodiscard]] net::HttpResponse up() const;
+
+ private:
+  enum class Found { live, over, nowhere, unknown };
+  struct Look {
+    Found found = Found::unknown;
+    wire::JobStatus status;
+    state::Entry live;
+    state::JobRecord record;
+  };
+  // A state client for one request; they are few, so that users can't take all sockets.
+  class Loan;
+
+  Look look(state::Client& client, const JobId& job, net::Deadline until);
+  net::HttpResponse known_or(state::Client& client, const JobId& job, net::Deadline until, net::HttpResponse otherwise);
+  void remember(const wire::JobStatus& status);
+  [[nodiscard]] std::optional<wire::JobStatus> remembered(const JobId& job);
+
+  Context& context_;
+  std::mutex clients_mutex_;
+  std::vector<std::unique_ptr<state::Client>> idle_;
+  std::size_t lent_ = 0;
+  std::mutex terminal_mutex_;
+  std::unordered_map<JobId, wire::JobStatus> terminal_;
+};
+
+[[nodiscard]] net::HttpResponse plain_error(int status, const std::string& why);
+[[nodiscard]] net::HttpResponse come_back(const std::string& why);
+
+// Why the job can never run, if so.
+[[nodiscard]] std::optional<std::string> never_runs(const wire::JobSpec& spec, const config::Settings& settings,
+                                                    const std::vector<wire::MachineType>& types);
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/leadership.cpp
@@ -0,0 +1,342 @@
+#include "node/leadership.h"
+
+#include <spdlog/spdlog.h>
+
+#include "config/constants.h"
+#include "control/times.h"
+
+namespace foxshunt::node {
+
+using state::Answer;
+
+namespace {
+
+net::Deadline call_limit() { return net::Clock::now() + constants::kStateCallLimit; }
+
+bool answered(Answer answer) { return answer == Answer::ok || answer == Answer::not_found || answer == Answer::conflict; }
+
+}  // namespace
+
+// ---- LeaderDuty ----
+
+LeaderDuty::LeaderDuty(Context& context)
+    : context_(context), client_(context.state_address, context.budget, state::Urgency::duty) {}
+
+bool LeaderDuty::View::read() const { return answered(holder.answer) && answered(term.answer); }
+
+LeaderDuty::View LeaderDuty::look() {
+  View view;
+  view.holder = client_.get(state::kHolderKey, call_limit());
+  if (!answered(view.holder.answer)) return view;
+  view.term = client_.get(state::kTermKey, call_limit());
+  if (!answered(view.term.answer)) return view;
+  context_.heard_state();
+  if (view.term.answer == Answer::ok) {
+    view.record = state::term_from(view.term.entry.data);
+    view.others_until_wall_ms = static_cast<std::int64_t>(view.term.entry.data.count("until"));
+  }
+  return view;
+}
+
+void LeaderDuty::show(const NodeName& leader, Term term) {
+  const std::lock_guard lock(context_.view_mutex);
+  if (term < context_.term) return;
+  if (leader != context_.leader && !leader.empty()) spdlog::info("{} leads in term {}", leader.text(), term.number());
+  context_.leader = leader;
+  context_.term = term;
+}
+
+void LeaderDuty::run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    try {
+      const View view = look();
+      if (!view.read()) {
+        pause(stop, constants::kStateRetryPause);
+        continue;
+      }
+      const bool held = view.holder.answer == Answer::ok;
+      // A lease of this node's earlier life: that process has ended, so it can't act any more.
+      const bool own = held && view.record.leader == context_.settings.name;
+      if (held && !own) {
+        show(view.record.leader, view.record.term);
+        watch(stop, view);
+        continue;
+      }
+      show({}, view.record.term);
+      if (take(view)) hold(stop);
+    } catch (const wire::Malformed& error) {
+      spdlog::error("leadership records cannot be read: {}", error.what());
+      pause(stop, constants::kStateRetryPause);
+    }
+  }
+  // An orderly end lets another node lead at once.
+  if (lease_.number != 0) (void)client_.revoke(lease_, call_limit());
+}
+
+void LeaderDuty::watch(const std::stop_token& stop, const View& view) {
+  Revision from = std::max(view.holder.entry.mark, view.term.entry.mark);
+  while (!stop.stop_requested()) {
+    const state::FollowResult news = client_.follow(state::kLeadPrefix, from, constants::kLeaderWatchHold,
+                                                    call_limit() + constants::kLeaderWatchHold);
+    if (news.answer != Answer::ok) {
+      pause(stop, constants::kStateRetryPause);
+      return;
+    }
+    context_.heard_state();
+    from = news.revision;
+    if (!news.events.empty()) return;
+  }
+}
+
+bool LeaderDuty::take(const View& view) {
+  const auto lease = client_.grant(constants::kLeaderLease, call_limit());
+  if (!lease) return false;
+  lease_ = *lease;
+  const Term term = view.record.term.next();
+  // Until when older leaders may answer workers. One that is cut off goes on until its fence, which it reckons
+  // from the last time that its lease was confirmed, and that was before now.
+  const bool own = view.record.leader == context_.settings.name;
+  const bool first = view.term.answer == Answer::not_found;
+  const auto skew = static_cast<std::int64_t>(2 * context_.settings.skew_ms);
+  const std::int64_t until = first ? 0
+                             : own ? view.others_until_wall_ms
+                                   : wall_ms() + skew + control::fence_span(context_.settings).count();
+  wire::Value record = state::to_value({.term = term, .leader = context_.settings.name});
+  record.as_map()->emplace_back("until", static_cast<std::uint64_t>(until));
+  state::Txn txn;
+  txn.conditions = {{.key = state::kHolderKey, .mark = view.holder.entry.mark},
+                    {.key = state::kTermKey, .mark = view.term.entry.mark}};
+  txn.changes = {{.key = state::kHolderKey, .data = wire::Value::Map{{"node", context_.settings.name.text()}}, .lease = lease_},
+                 {.key = state::kTermKey, .data = record, .lease = {}}};
+  state::TxnResult result = client_.txn(txn, call_limit());
+  if (result.answer == Answer::none) {
+    const View now_there = look();
+    if (now_there.read() && now_there.record.term == term && now_there.record.leader == context_.settings.name) {
+      result.answer = Answer::ok;
+      result.revision = now_there.term.entry.mark;
+    }
+  }
+  if (result.answer != Answer::ok) {
+    (void)client_.revoke(lease_, call_limit());
+    lease_ = {};
+    return false;
+  }
+  if (load(view, result.revision, term, until)) return true;
+  (void)client_.revoke(lease_, call_limit());
+  lease_ = {};
+  return false;
+}
+
+bool LeaderDuty::load(const View&, Revision term_mark, Term term, std::int64_t others_until_wall_ms) {
+  const plan::Instant began = now();
+  state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit);
+  if (live.answer != Answer::ok) return false;
+  state::ListResult linger = client_.list(state::kLingerPrefix, constants::kStateCallLimit);
+  if (linger.answer != Answer::ok) return false;
+  state::ListResult parts = client_.list(state::kPartPrefix, constants::kStateCallLimit);
+  if (parts.answer != Answer::ok) return false;
+  const plan::Instant at = now();
+  const std::int64_t wall = wall_ms();
+  control::Takeover takeover{.term = term,
+                             .term_mark = term_mark,
+                             .others_until = at + plan::Millis(std::max<std::int64_t>(0, others_until_wall_ms - wall)),
+                             .live = std::move(live.entries),
+                             .linger = std::move(linger.entries),
+                             .parts = std::move(parts.entries),
+                             .wall_ms = wall};
+  {
+    const std::lock_guard lock(context_.engine_mutex);
+    context_.engine.lead(takeover, began);
+    context_.follow_from = live.revision;
+  }
+  show(context_.settings.name, term);
+  context_.budget.set_share(constants::kLeaderShare);
+  context_.follow_signal.raise();
+  context_.plan_signal.raise();
+  context_.cloud_signal.raise();
+  return true;
+}
+
+void LeaderDuty::hold(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      if (!context_.engine.leading()) break;
+    }
+    const plan::Instant sent = now();
+    const Answer answer = client_.touch(lease_, call_limit());
+    if (answer == Answer::ok) {
+      context_.heard_state();
+      const std::lock_guard lock(context_.engine_mutex);
+      context_.engine.confirm_lease(sent);
+    } else if (answer == Answer::not_found) {
+      const std::lock_guard lock(context_.engine_mutex);
+      context_.engine.resign("its lease has ended");
+      break;
+    }
+    // No confirmation may be an outage, in which leases don't end: the engine's fence bounds how long.
+    pause(stop, answer == Answer::ok ? constants::kLeaderRenew : constants::kStateRetryPause);
+  }
+  {
+    const std::lock_guard lock(context_.engine_mutex);
+    context_.engine.resign("this node stops leading");
+  }
+  (void)client_.revoke(lease_, call_limit());
+  lease_ = {};
+  const auto nodes = static_cast<double>(std::max<std::size_t>(2, context_.settings.nodes));
+  context_.budget.set_share((1 - constants::kLeaderShare) / (nodes - 1));
+}
+
+// ---- FollowDuty ----
+
+FollowDuty::FollowDuty(Context& context)
+    : context_(context), client_(context.state_address, context.budget, state::Urgency::duty) {}
+
+void FollowDuty::run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    Revision from;
+    Term term;
+    bool leading = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      leading = context_.engine.leading();
+      from = context_.follow_from;
+      term = context_.engine.term();
+    }
+    if (!leading) {
+      context_.follow_signal.wait(stop, constants::kKeepLooking);
+      continue;
+    }
+    const plan::Instant sent = now();
+    const state::FollowResult news =
+        client_.follow(state::kLivePrefix, from, constants::kFollowHold, call_limit() + constants::kFollowHold);
+    if (news.answer == Answer::too_old) {
+      reload(stop);
+      continue;
+    }
+    if (news.answer != Answer::ok) {
+      pause(stop, constants::kStateRetryPause);
+      continue;
+    }
+    context_.heard_state();
+    const plan::Instant at = now();
+    const std::int64_t wall = wall_ms();
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      if (!context_.engine.leading() || context_.engine.term() != term) continue;
+      for (const state::Event& event : news.events) {
+        const auto id = state::job_of_key(event.key);
+        if (!id) continue;
+        if (event.data) {
+          context_.engine.on_job_record(*id, *event.data, event.mark, wall, at);
+        } else {
+          context_.engine.on_job_removed(*id, at);
+        }
+      }
+      context_.engine.confirm_reading(sent);
+      context_.follow_from = news.revision;
+    }
+    if (!news.events.empty()) {
+      context_.plan_signal.raise();
+      context_.write_signal.raise();
+    }
+  }
+}
+
+// The watch is too far behind: what is there now is compared with what is known.
+void FollowDuty::reload(const std::stop_token& stop) {
+  const plan::Instant sent = now();
+  const state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit);
+  if (live.answer != Answer::ok) {
+    pause(stop, constants::kStateRetryPause);
+    return;
+  }
+  const plan::Instant at = now();
+  const std::int64_t wall = wall_ms();
+  const std::lock_guard lock(context_.engine_mutex);
+  std::set<JobId> there;
+  for (const state::Entry& entry : live.entries) {
+    const auto id = state::job_of_key(entry.key);
+    if (!id) continue;
+    there.insert(*id);
+    context_.engine.on_job_record(*id, entry.data, entry.mark, wall, at);
+  }
+  std::vector<JobId> removed;
+  for (const auto& [id, job] : context_.engine.jobs()) {
+    if (!job.withdrawn && !there.contains(id)) removed.push_back(id);
+  }
+  for (const JobId& id : removed) context_.engine.on_job_removed(id, at);
+  context_.engine.confirm_reading(sent);
+  context_.follow_from = live.revision;
+  context_.plan_signal.raise();
+}
+
+// ---- WriteDuty ----
+
+WriteDuty::WriteDuty(Context& context)
+    : context_(context), client_(context.state_address, context.budget, state::Urgency::duty) {}
+
+void WriteDuty::reload_jobs() {
+  while (true) {
+    std::optional<JobId> id;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      id = context_.engine.next_reload();
+    }
+    if (!id) return;
+    const state::GetResult live = client_.get(state::live_key(*id), call_limit());
+    if (!answered(live.answer)) return;
+    const std::lock_guard lock(context_.engine_mutex);
+    context_.engine.on_reloaded(*id, live.answer == Answer::ok ? std::optional(live.entry.mark) : std::nullopt, now());
+  }
+}
+
+void WriteDuty::run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    reload_jobs();
+    std::optional<control::WriteBatch> batch;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      batch = context_.engine.begin_write(now());
+    }
+    if (!batch) {
+      context_.write_signal.wait(stop, constants::kStateRetryPause);
+      pause(stop, constants::kWritePause);
+      continue;
+    }
+    const state::TxnResult result = client_.txn(batch->txn, call_limit());
+    if (answered(result.answer)) context_.heard_state();
+    bool more = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      context_.engine.end_write(*batch, result, now());
+      more = context_.engine.plan_wanted();
+    }
+    if (more) context_.plan_signal.raise();
+    if (!answered(result.answer)) pause(stop, constants::kStateRetryPause);
+  }
+}
+
+// ---- PlanDuty ----
+
+void PlanDuty::run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    context_.plan_signal.wait(stop, constants::kTick);
+    bool writes = false;
+    bool leading = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      leading = context_.engine.leading();
+      if (leading) {
+        context_.engine.tick(now());
+        if (context_.engine.plan_wanted()) context_.engine.plan_pass(now());
+        writes = context_.engine.writes_wanted();
+      }
+    }
+    if (writes) context_.write_signal.raise();
+    if (leading) context_.cloud_signal.raise();
+    pause(stop, leading ? constants::kPlanPause : constants::kKeepLooking);
+  }
+}
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/leadership.h
@@ -0,0 +1,71 @@
+// Who leads: a leased key and a term that only grows; and the duties of whoever leads.
+#pragma once
+
+#include <functional>
+
+#include "node/context.h"
+#include "state/client.h"
+
+namespace foxshunt::node {
+
+// Watches who leads, takes the lead when nobody does, and holds it.
+class LeaderDuty {
+ public:
+  explicit LeaderDuty(Context& context);
+  void run(const std::stop_token& stop);
+
+ private:
+  struct View {
+    state::GetResult holder;
+    state::GetResult term;
+    state::TermRecord record;
+    std::int64_t others_until_wall_ms = 0;
+    [[nodiscard]] bool read() const;
+  };
+  View look();
+  void watch(const std::stop_token& stop, const View& view);
+  bool take(const View& view);
+  bool load(const View& before, Revision term_mark, Term term, std::int64_t others_until_wall_ms);
+  void hold(const std::stop_token& stop);
+  void show(const NodeName& leader, Term term);
+
+  Context& context_;
+  state::Client client_;
+  state::LeaseId lease_;
+};
+
+// Reads the changes of records while leading.
+class FollowDuty {
+ public:
+  explicit FollowDuty(Context& context);
+  void run(const std::stop_token& stop);
+
+ private:
+  void reload(const std::stop_token& stop);
+  Context& context_;
+  state::Client client_;
+};
+
+// Writes what the engine wants durable.
+class WriteDuty {
+ public:
+  explicit WriteDuty(Context& context);
+  void run(const std::stop_token& stop);
+
+ private:
+  void reload_jobs();
+  Context& context_;
+  state::Client client_;
+};
+
+// Plans, and keeps house.
+class PlanDuty {
+ public:
+  explicit PlanDuty(Context& context) : context_(context) {}
+  void run(const std::stop_token& stop);
+
+ private:
+  Context& context_;
+};
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,118 @@
+#include "node/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <thread>
+
+#include "config/constants.h"
+#include "net/http.h"
+#include "node/cloud.h"
+#include "node/context.h"
+#include "node/front.h"
+#include "node/leadership.h"
+
+namespace foxshunt::node {
+
+using net::HttpRequest;
+using net::HttpResponse;
+
+class Node::Impl {
+ public:
+  explicit Impl(const config::Settings& settings)
+      : context_(settings),
+        front_(context_),
+        leader_(context_),
+        follow_(context_),
+        write_(context_),
+        plan_(context_),
+        cloud_(context_),
+        halt_(context_),
+        server_(bind_address(settings), settings.max_connections - constants::kConnectionReserve,
+                [this](const HttpRequest& request) { return handle(request); }) {
+    start(leader_);
+    start(follow_);
+    start(write_);
+    start(plan_);
+    start(cloud_);
+    start(halt_);
+    spdlog::info("{} serves at {}", settings.name.text(), server_.address().text());
+  }
+
+  [[nodiscard]] std::string address() const { return server_.address().text(); }
+
+ private:
+  static net::Address bind_address(const config::Settings& settings) {
+    const auto address = net::parse_address(settings.bind);
+    if (!address) throw config::BadSettings("bind: must be an IPv4 address with a port");
+    return *address;
+  }
+
+  template <typename Duty>
+  void start(Duty& duty) {
+    duties_.emplace_back([&duty](const std::stop_token& stop) { duty.run(stop); });
+  }
+
+  HttpResponse handle(const HttpRequest& request) {
+    static constexpr std::string_view kJobs = "/api/jobs";
+    const std::string& path = request.path;
+    if (request.method == "POST" && path == "/checkin") return check_in(request.body);
+    if (request.method == "GET" && path == "/up") return front_.up();
+    if (request.method == "POST" && path == kJobs) return front_.submit(request.body);
+    if (path.starts_with(kJobs) && path.size() > kJobs.size() + 1 && path[kJobs.size()] == '/') {
+      const std::string rest = path.substr(kJobs.size() + 1);
+      if (request.method == "GET") return front_.status(rest);
+      if (request.method == "POST" && rest.ends_with("/abort")) return front_.abort(rest.substr(0, rest.size() - 6));
+    }
+    return plain_error(404, "no such path");
+  }
+
+  HttpResponse check_in(const std::string& body) {
+    wire::Report report;
+    try {
+      report = wire::report_from(wire::decode(body));
+    } catch (const wire::Malformed& error) {
+      spdlog::warn("malformed report: {}", error.what());
+      return plain_error(400, error.what());
+    }
+    std::optional<std::vector<wire::Command>> commands;
+    Term term;
+    bool plan = false;
+    bool writes = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex);
+      commands = context_.engine.on_report(report, now());
+      term = context_.engine.term();
+      plan = context_.engine.plan_wanted();
+      writes = context_.engine.writes_wanted();
+    }
+    if (!commands) {
+      NodeName leader;
+      {
+        const std::lock_guard lock(context_.view_mutex);
+        leader = context_.leader;
+      }
+      if (leader == context_.settings.name) leader = NodeName{};
+      return {.status = 421, .body = wire::encode(wire::redirect_to(leader)), .retry_after_s = {}};
+    }
+    if (writes) context_.write_signal.raise();
+    if (plan) context_.plan_signal.raise();
+    return {.status = 200, .body = wire::encode(wire::report_answer(term, *commands)), .retry_after_s = {}};
+  }
+
+  Context context_;
+  Front front_;
+  LeaderDuty leader_;
+  FollowDuty follow_;
+  WriteDuty write_;
+  PlanDuty plan_;
+  CloudDuty cloud_;
+  HaltDuty halt_;
+  std::vector<std::jthread> duties_;
+  net::HttpServer server_;
+};
+
+Node::Node(const config::Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
+Node::~Node() = default;
+std::string Node::address() const { return impl_->address(); }
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/plan/planner.h
@@ -0,0 +1,152 @@
+// Plans when and where tasks run (PAPER section 5): time-sorted use of the fleet, of each machine and of each
+// team; slots that are free for the whole estimate; a mapper that ranks machines by weight. Pure: no clock, no
+// I/O, no thread.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "plan/usage_vector.h"
+#include "wire/ids.h"
+
+namespace foxshunt::plan {
+
+inline constexpr std::size_t kResources = 3;
+
+// CPUs, GPUs and memory, in thousandths.
+struct Amounts {
+  std::array<Items, kResources> of{};
+
+  static Amounts from(double cpus, double gpus, double ram_gb);
+  Amounts& operator+=(const Amounts& other);
+  Amounts& operator-=(const Amounts& other);
+  [[nodiscard]] Amounts times(std::int64_t count) const;
+  [[nodiscard]] bool fits(const Amounts& room) const;
+  // How many of these fit the room.
+  [[nodiscard]] std::int64_t count_in(const Amounts& room) const;
+  friend bool operator==(const Amounts&, const Amounts&) = default;
+};
+
+// One UsageVector a resource (the paper's sRS, nRS and usdRS).
+class ResourceSet {
+ public:
+  ResourceSet() = default;
+  explicit ResourceSet(const Amounts& capacity);
+
+  void set_capacity(const Amounts& capacity);
+  [[nodiscard]] Amounts capacity() const;
+  void book(const Amounts& amounts, Instant start, Instant stop);
+  void revoke(const Amounts& amounts, Instant start, Instant stop);
+  [[nodiscard]] const UsageVector& of(std::size_t resource) const { return vectors_[resource]; }
+  UsageVector& of(std::size_t resource) { return vectors_[resource]; }
+  // Intervals in which the amounts are free for the duration (the intersection over the resources).
+  [[nodiscard]] FreeSlots free_slots(const Amounts& amounts, Millis duration, Instant from, Instant to) const;
+  [[nodiscard]] Amounts free(Instant from, Instant to) const;
+  void forget_before(Instant when);
+
+ private:
+  std::array<UsageVector, kResources> vectors_;
+};
+
+struct PlanMachine {
+  MachineId id;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  Amounts capacity;
+  Instant ready;              // before that it can't start anything
+  Instant until = kForever;   // from then on it is gone
+  int priority = 0;           // the paper's prio of a node: higher is used later
+};
+
+// A team's limit; nothing: none.
+struct TeamLimit {
+  std::optional<Items> cpus;
+  std::optional<Items> gpus;
+};
+
+struct Booking {
+  MachineId machine;
+  std::string team;
+  Amounts amounts;
+  Instant start;
+  Instant stop;
+};
+
+using BookingId = std::uint64_t;
+
+struct Request {
+  std::string team;
+  Amounts each;                 // of one task
+  std::uint32_t count = 0;
+  Millis duration{};            // estimate
+  Instant from;
+  Instant to = kForever;        // starts after it are of no use
+  bool together = false;        // a gang: all at the same time or none
+  bool one_zone = false;
+  std::string zone_bound;       // where the job's other tasks are, when they must share it
+  std::optional<std::uint32_t> zone_most;               // of the job's tasks in one zone (spread)
+  std::map<std::string, std::uint32_t> zone_taken;      // tasks of the job that have their place already
+  Amounts keep_free;            // of the fleet, for others (the paper's FreePool)
+  // Whether the job may run there at all, and what it has to do there before it runs (image fetch).
+  std::function<std::optional<Millis>(const PlanMachine&)> suits;
+};
+
+struct Placing {
+  MachineId machine;
+  Instant start;      // of the booking
+  Instant stop;
+  std::uint32_t count = 0;
+};
+
+class Planner {
+ public:
+  void set_team(const std::string& team, const TeamLimit& limit);
+
+  void set_machine(const PlanMachine& machine);   // new or changed
+  void remove_machine(const MachineId& machine);  // its bookings must have been revoked
+  [[nodiscard]] const PlanMachine* machine(const MachineId& machine) const;
+  [[nodiscard]] const ResourceSet* use_of(const MachineId& machine) const;
+  [[nodiscard]] const ResourceSet& fleet() const { return fleet_; }
+  [[nodiscard]] std::size_t machines() const { return machines_.size(); }
+
+  // Where and when the tasks could run; fewer than asked when the rest has no slot. Books nothing.
+  [[nodiscard]] std::vector<Placing> plan(const Request& request) const;
+
+  BookingId book(const Booking& booking);
+  void revoke(BookingId id);
+  void extend(BookingId id, Instant stop);
+  [[nodiscard]] const Booking* booking(BookingId id) const;
+  [[nodiscard]] std::size_t bookings() const { return bookings_.size(); }
+  void forget_before(Instant when);
+
+ private:
+  struct Node {
+    PlanMachine info;
+    ResourceSet use;
+  };
+  struct Candidate;
+
+  [[nodiscard]] FreeSlots fleet_slots(const Request& request, std::int64_t count, const ResourceSet& fleet,
+                                      const ResourceSet& team) const;
+  [[nodiscard]] const ResourceSet& team_use(const std::string& team) const;
+  [[nodiscard]] double weight(const Node& node) const;
+  [[nodiscard]] std::vector<Placing> plan_apart(const Request& request, const std::vector<Candidate>& candidates) const;
+  [[nodiscard]] std::vector<Placing> plan_together(const Request& request,
+                                                   const std::vector<Candidate>& candidates) const;
+
+  ResourceSet fleet_;
+  std::map<MachineId, Node> machines_;
+  std::map<std::string, TeamLimit> limits_;
+  std::map<std::string, ResourceSet> teams_;
+  std::unordered_map<BookingId, Booking> bookings_;
+  BookingId next_booking_ = 1;
+};
+
+}  // namespace foxshunt::plan
--- /dev/null
+++ b/src/state/client.cpp
@@ -0,0 +1,172 @@
+#include "state/client.h"
+
+#include <spdlog/spdlog.h>
+
+#include "config/constants.h"
+
+namespace foxshunt::state {
+namespace {
+
+Answer answer_of(int status) {
+  switch (status) {
+    case 200: return Answer::ok;
+    case 400: return Answer::rejected;
+    case 404: return Answer::not_found;
+    case 409: return Answer::conflict;
+    case 410: return Answer::too_old;
+    case 429:
+    case 503: return Answer::refused;
+    default: return Answer::none;
+  }
+}
+
+}  // namespace
+
+Client::Client(net::Address to, RateBudget& budget, Urgency urgency)
+    : http_(std::move(to), constants::kStateConnectLimit), budget_(&budget), urgency_(urgency) {}
+
+Client::Raw Client::call(const std::string& method, const std::string& path, const wire::Value* body, double changes,
+                         net::Deadline until) {
+  const auto turn = urgency_ == Urgency::user ? std::min(until, net::Clock::now() + constants::kBudgetWait) : until;
+  if (!budget_->take(changes, urgency_, turn)) return {.answer = Answer::refused, .body = {}};
+  const auto answer =
+      http_.call({.method = method, .path = path, .body = body == nullptr ? std::string() : wire::encode(*body)}, until);
+  if (!answer) return {};
+  if (answer->status == 429) budget_->overdrawn();
+  Raw raw{.answer = answer_of(answer->status), .body = {}};
+  if (raw.answer == Answer::refused) return raw;
+  try {
+    if (!answer->body.empty()) raw.body = wire::decode(answer->body);
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("state service: {} {}: malformed answer: {}", method, path, error.what());
+    return {};
+  }
+  if (raw.answer == Answer::rejected || raw.answer == Answer::none) {
+    const std::string* why = raw.body["error"].as_text();
+    spdlog::warn("state service: {} {}: status {} {}", method, path, answer->status, why == nullptr ? "" : *why);
+  }
+  return raw;
+}
+
+GetResult Client::get(const std::string& key, net::Deadline until) {
+  const Raw raw = call("GET", "/kv/" + key, nullptr, 0, until);
+  GetResult result{.answer = raw.answer, .entry = {.key = key, .data = {}, .mark = {}}};
+  if (raw.answer != Answer::ok) return result;
+  try {
+    result.entry.mark = Revision(raw.body.count("mark"));
+    result.entry.data = raw.body["data"];
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("state service: get {}: {}", key, error.what());
+    result.answer = Answer::none;
+  }
+  return result;
+}
+
+ListResult Client::list(const std::string& prefix, std::chrono::milliseconds page_limit) {
+  ListResult result;
+  std::string from;
+  while (true) {
+    std::string path = "/kv?starts=" + prefix;
+    if (!from.empty()) path += "&from=" + from;
+    path += "&most=" + std::to_string(constants::kStateItemsMost);
+    const Raw raw = call("GET", path, nullptr, 0, net::Clock::now() + page_limit);
+    result.answer = raw.answer;
+    if (raw.answer != Answer::ok) return result;
+    try {
+      if (from.empty()) result.revision = Revision(raw.body.count("tally"));
+      for (const wire::Value& item : raw.body.list("items")) {
+        result.entries.push_back({.key = item.text("k"), .data = item["data"], .mark = Revision(item.count("mark"))});
+      }
+      const bool* more = raw.body["more"].as_bool();
+      if (more == nullptr || !*more || result.entries.empty() || result.entries.back().key == from) return result;
+      from = result.entries.back().key;
+    } catch (const wire::Malformed& error) {
+      spdlog::warn("state service: list {}: {}", prefix, error.what());
+      result.answer = Answer::none;
+      return result;
+    }
+  }
+}
+
+TxnResult Client::txn(const Txn& txn, net::Deadline until) {
+  wire::Value::List conditions;
+  for (const Condition& condition : txn.conditions) {
+    conditions.emplace_back(wire::Value::Map{{"k", condition.key}, {"mark", condition.mark.number()}});
+  }
+  wire::Value::List changes;
+  for (const Change& change : txn.changes) {
+    wire::Value::Map entry;
+    if (change.data) {
+      entry.emplace_back("set", change.key);
+      entry.emplace_back("data", *change.data);
+      if (change.lease) entry.emplace_back("tether", change.lease->number);
+    } else {
+      entry.emplace_back("remove", change.key);
+    }
+    changes.emplace_back(std::move(entry));
+  }
+  const wire::Value body = wire::Value::Map{{"if", std::move(conditions)}, {"then", std::move(changes)}};
+  const Raw raw = call("POST", "/txn", &body, static_cast<double>(txn.changes.size()), until);
+  TxnResult result{.answer = raw.answer, .revision = {}, .failed = {}};
+  try {
+    if (raw.answer == Answer::ok) result.revision = Revision(raw.body.count("tally"));
+    if (raw.answer == Answer::conflict) {
+      for (const wire::Value& key : raw.body.list("failed")) {
+        if (const std::string* text = key.as_text()) result.failed.push_back(*text);
+      }
+    }
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("state service: txn: {}", error.what());
+    result.answer = Answer::none;
+  }
+  return result;
+}
+
+std::optional<LeaseId> Client::grant(std::chrono::milliseconds ttl, net::Deadline until) {
+  const wire::Value body = wire::Value::Map{{"ttlMs", static_cast<std::uint64_t>(ttl.count())}};
+  const Raw raw = call("POST", "/leases", &body, 0, until);
+  if (raw.answer != Answer::ok) return std::nullopt;
+  try {
+    return LeaseId{raw.body.count("tether")};
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("state service: lease: {}", error.what());
+    return std::nullopt;
+  }
+}
+
+Answer Client::touch(LeaseId lease, net::Deadline until) {
+  return call("POST", "/leases/" + std::to_string(lease.number) + "/touch", nullptr, 0, until).answer;
+}
+
+Answer Client::revoke(LeaseId lease, net::Deadline until) {
+  return call("DELETE", "/leases/" + std::to_string(lease.number), nullptr, 0, until).answer;
+}
+
+FollowResult Client::follow(const std::string& prefix, Revision from, std::chrono::milliseconds hold,
+                            net::Deadline until) {
+  const Raw raw = call("GET",
+                       "/follow?starts=" + prefix + "&from=" + std::to_string(from.number()) +
+                           "&holdMs=" + std::to_string(hold.count()),
+                       nullptr, 0, until);
+  FollowResult result{.answer = raw.answer, .revision = from, .events = {}};
+  if (raw.answer != Answer::ok) return result;
+  try {
+    result.revision = Revision(raw.body.count("tally"));
+    for (const wire::Value& item : raw.body.list("news")) {
+      Event event{.key = {}, .data = {}, .mark = Revision(item.count("mark"))};
+      if (!item["set"].is_null()) {
+        event.key = item.text("set");
+        event.data = item["data"];
+      } else {
+        event.key = item.text("remove");
+      }
+      result.events.push_back(std::move(event));
+    }
+  } catch (const wire::Malformed& error) {
+    spdlog::warn("state service: follow {}: {}", prefix, error.what());
+    result.answer = Answer::none;
+  }
+  return result;
+}
+
+}  // namespace foxshunt::state
--- /dev/null
+++ b/src/state/records.cpp
@@ -0,0 +1,155 @@
+#include "state/records.h"
+
+#include <algorithm>
+
+#include "config/constants.h"
+
+namespace foxshunt::state {
+
+using wire::Malformed;
+using wire::Value;
+
+std::string live_key(const JobId& job) { return kLivePrefix + job.text(); }
+std::string over_key(const JobId& job) { return kOverPrefix + job.text(); }
+std::string linger_key(const JobId& job) { return kLingerPrefix + job.text(); }
+std::string part_key(const JobId& job, std::uint32_t part) {
+  return kPartPrefix + job.text() + "/" + std::to_string(part);
+}
+
+std::optional<JobId> job_of_key(const std::string& key) {
+  const std::size_t slash = key.find('/');
+  if (slash == std::string::npos) return std::nullopt;
+  const std::string rest = key.substr(slash + 1, key.find('/', slash + 1) - slash - 1);
+  if (!wire::is_job_id(rest)) return std::nullopt;
+  return JobId(rest);
+}
+
+std::uint32_t parts_of(std::uint32_t tasks) {
+  return (tasks + constants::kTasksPerPart - 1) / constants::kTasksPerPart;
+}
+
+std::uint32_t part_size(std::uint32_t tasks, std::uint32_t part) {
+  return std::min(constants::kTasksPerPart, tasks - part * constants::kTasksPerPart);
+}
+
+namespace {
+
+constexpr std::string_view kHexDigits = "0123456789abcdef";
+
+// Which tasks are done, four a digit, lowest first; trailing zeros are left out.
+std::string bits_to_text(const std::vector<bool>& bits) {
+  std::string text((bits.size() + 3) / 4, '0');
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    unsigned digit = 0;
+    for (std::size_t bit = 0; bit < 4 && at * 4 + bit < bits.size(); ++bit) {
+      if (bits[at * 4 + bit]) digit |= 1U << bit;
+    }
+    text[at] = kHexDigits[digit];
+  }
+  text.erase(text.find_last_not_of('0') + 1);
+  return text;
+}
+
+std::vector<bool> bits_from_text(const std::string& text, std::uint32_t size) {
+  std::vector<bool> bits(size);
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    const std::size_t digit = kHexDigits.find(text[at]);
+    if (digit == std::string_view::npos) throw Malformed("done: not a hexadecimal digit");
+    for (std::size_t bit = 0; bit < 4; ++bit) {
+      if ((digit >> bit & 1U) == 0) continue;
+      if (at * 4 + bit >= size) throw Malformed("done: too many tasks");
+      bits[at * 4 + bit] = true;
+    }
+  }
+  return bits;
+}
+
+}  // namespace
+
+Value to_value(const PartRecord& part) {
+  Value::List runs;
+  for (const RunRecord& run : part.runs) {
+    runs.emplace_back(Value::List{std::uint64_t{run.index}, run.attempt.number(), run.machine.text(), run.session.number()});
+  }
+  return Value::Map{{"next", part.next.number()},
+                    {"done", bits_to_text(part.done)},
+                    {"runs", std::move(runs)}};
+}
+
+PartRecord part_from(const Value& value, std::uint32_t size) {
+  PartRecord part;
+  part.next = AttemptNo(value.count("next"));
+  part.done = bits_from_text(value.text("done"), size);
+  for (const Value& entry : value.list("runs")) {
+    const Value::List* run = entry.as_list();
+    if (run == nullptr || run->size() != 4 || (*run)[0].as_count() == nullptr || (*run)[1].as_count() == nullptr ||
+        (*run)[2].as_text() == nullptr || (*run)[3].as_count() == nullptr) {
+      throw Malformed("runs: entry is not a placement");
+    }
+    part.runs.push_back({.index = static_cast<std::uint32_t>(*(*run)[0].as_count()),
+                         .attempt = AttemptNo(*(*run)[1].as_count()),
+                         .machine = MachineId(*(*run)[2].as_text()),
+                         .session = SessionNo(*(*run)[3].as_count())});
+  }
+  return part;
+}
+
+Value to_value(const JobRecord& job) {
+  Value::Map map{{"spec", wire::to_value(job.spec)}, {"at", static_cast<std::uint64_t>(job.submitted_wall_ms)}};
+  if (job.whole) {
+    map.emplace_back("whole", to_value(*job.whole));
+  } else {
+    map.emplace_back("done", job.done_shown);
+    map.emplace_back("running", job.running_shown);
+  }
+  return map;
+}
+
+JobRecord job_from(const Value& value) {
+  JobRecord job;
+  job.spec = wire::job_spec_from(value["spec"]);
+  job.submitted_wall_ms = static_cast<std::int64_t>(value.count("at"));
+  if (!value["whole"].is_null()) {
+    job.whole = part_from(value["whole"], part_size(job.spec.tasks, 0));
+  } else {
+    job.done_shown = value.count("done");
+    job.running_shown = value.count("running");
+  }
+  return job;
+}
+
+Value over_value(const wire::JobStatus& status) {
+  return Value::Map{{"end", wire::name_of(status.state)}, {"done", status.done}};
+}
+
+wire::JobStatus over_from(const JobId& job, const Value& value) {
+  const std::string& end = value.text("end");
+  if (end != "done" && end != "withdrawn") throw Malformed("end: unknown value");
+  return {.id = job,
+          .state = end == "done" ? wire::JobState::done : wire::JobState::withdrawn,
+          .done = value.count("done"),
+          .running = 0};
+}
+
+wire::JobStatus status_of(const JobRecord& job) {
+  wire::JobStatus status{.id = job.spec.id};
+  if (job.whole) {
+    status.done = static_cast<std::uint64_t>(std::ranges::count(job.whole->done, true));
+    status.running = job.whole->runs.size();
+  } else {
+    status.done = job.done_shown;
+    status.running = job.running_shown;
+  }
+  status.state = status.running > 0 ? wire::JobState::running : wire::JobState::pending;
+  return status;
+}
+
+Value to_value(const TermRecord& term) {
+  return Value::Map{{"term", term.term.number()}, {"leader", term.leader.text()}};
+}
+
+TermRecord term_from(const Value& value) {
+  return {.term = Term(value.count("term")), .leader = NodeName(value.text("leader"))};
+}
+
+}  // namespace foxshunt::state
