--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -186,6 +186,7 @@
   struct Supply {                     // one kind of machine that the cloud may have
     Instant not_before;
     Millis pause{};
+    std::optional<std::size_t> most;   // how many we had when the cloud refused more
   };
   using SupplyKey = std::tuple<std::string, std::string, bool>;   // type, zone, spot
 
@@ -228,6 +229,10 @@
   void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
   [[nodiscard]] Millis patience(const Job& job, Instant now) const;
   void size_fleet(Instant now);
+  [[nodiscard]] std::map<SupplyKey, std::size_t> held() const;
+  void note_refusal(const wire::RentRequest& request, Instant now);
+  // Whether the cloud may have more of them now, as far as its refusals tell.
+  [[nodiscard]] bool on_offer(const SupplyKey& key, std::size_t held_now, Instant now) const;
 
   config::Settings settings_;
   bool leading_ = false;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -118,12 +118,30 @@
   }
 }
 
+std::map<Engine::SupplyKey, std::size_t> Engine::held() const {
+  std::map<SupplyKey, std::size_t> count;
+  for (const auto& [unused, machine] : machines_) {
+    if (!machine.listed_failed) ++count[{machine.type, machine.zone, machine.spot}];
+  }
+  return count;
+}
+
+bool Engine::on_offer(const SupplyKey& key, std::size_t held_now, Instant now) const {
+  const auto known = supply_.find(key);
+  if (known == supply_.end()) return true;
+  // Below the number at which it refused there is room again; otherwise it is asked after a pause.
+  return now >= known->second.not_before || (known->second.most && held_now < *known->second.most);
+}
+
 std::optional<wire::RentRequest> Engine::next_rental(Instant now) {
   if (!may_start(now) || !settings_.operators.may_rent) return std::nullopt;
   if (rental_) return rental_;   // unanswered: the same request tells what became of it
+  const std::map<SupplyKey, std::size_t> have = held();
   for (auto at = wanted_.begin(); at != wanted_.end(); at = wanted_.erase(at)) {
     const auto& [key, count] = *at;
-    if (count == 0) continue;
+    const auto held_now = have.find(key);
+    // The fleet was sized before the latest refusals.
+    if (count == 0 || !on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
     const auto& [type_name, zone, spot] = key;
     // A request's name is never used again: terms only grow.
     rental_ = wire::RentRequest{.request = "fox-" + std::to_string(term_.number()) + "-" + std::to_string(++rentals_),
@@ -151,12 +169,10 @@
     machine.ready = now + from_seconds(kind == nullptr ? 0 : kind->boot_s);
     refresh_plan_machine(machine);
   }
-  Supply& supply = supply_[{request.type, request.zone, request.spot}];
   if (rented.size() < request.count) {
-    supply.pause = std::clamp(supply.pause * 2, constants::kCapacityPause, constants::kCapacityPauseMost);
-    supply.not_before = now + supply.pause;
+    note_refusal(request, now);
   } else {
-    supply.pause = Millis(0);
+    supply_.erase({request.type, request.zone, request.spot});
   }
   spdlog::info("rented {} of {} {} in {}{}", rented.size(), request.count, request.type, request.zone,
                request.spot ? ", spot" : "");
@@ -166,12 +182,18 @@
 void Engine::on_rent_refused(const wire::RentRequest& request, Instant now) {
   if (!rental_ || rental_->request != request.request) return;
   rental_.reset();
-  Supply& supply = supply_[{request.type, request.zone, request.spot}];
+  note_refusal(request, now);
+  plan_wanted_ = true;
+}
+
+void Engine::note_refusal(const wire::RentRequest& request, Instant now) {
+  const SupplyKey key{request.type, request.zone, request.spot};
+  Supply& supply = supply_[key];
   supply.pause = std::clamp(supply.pause * 2, constants::kCapacityPause, constants::kCapacityPauseMost);
   supply.not_before = now + supply.pause;
-  spdlog::info("no {} in {}{} to rent; asked again after {:.0f} s", request.type, request.zone,
-               request.spot ? ", spot" : "", to_seconds(supply.pause));
-  plan_wanted_ = true;
+  supply.most = held()[key];
+  spdlog::info("no more {} in {}{} to rent, {} are held; asked again after {:.0f} s", request.type, request.zone,
+               request.spot ? ", spot" : "", *supply.most, to_seconds(supply.pause));
 }
 
 std::vector<MachineId> Engine::next_returns(Instant now) {
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -260,6 +260,7 @@
   if (types_.empty() || !settings_.operators.may_rent) return;
   // Tasks that would wait too long, by what they take; each kind of machine that could run them has a price
   // for one task.
+  const std::map<SupplyKey, std::size_t> have = held();
   std::map<SupplyKey, double> shares;   // machines, of which a task may be a part
   for (const Job* job : planning_order(now)) {
     if (job->late_tasks == 0) continue;
@@ -278,7 +279,8 @@
         for (const bool spot : {true, false}) {
           if (!allows(job->spec, kind.name, zone, spot)) continue;
           SupplyKey key{kind.name, zone, spot};
-          if (const auto supply = supply_.find(key); supply != supply_.end() && now < supply->second.not_before) continue;
+          const auto held_now = have.find(key);
+          if (!on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
           const double price = (spot ? kind.spot_price : kind.price) / static_cast<double>(std::min<std::int64_t>(fit, late));
           if (best == nullptr || price < best_price) {
             best_key = std::move(key);
