Leave the room beside GPUs to tasks that use GPUs

Cause: rough of both sites (simulated): tasks of 30 CPUs without GPUs took GPU machines and blocked up to 5 of 8 GPUs each.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -219,6 +219,9 @@
                             bool spot) const;
   [[nodiscard]] Millis fetch_time(const wire::JobSpec& spec, const std::string& machine_type) const;
   [[nodiscard]] Millis estimate(const Job& job) const;
+  // What a machine of the kind has for the job: work without GPUs leaves room for those that have use for them.
+  [[nodiscard]] Amounts offered(const wire::JobSpec& spec, const wire::MachineType& kind) const;
+  void learn_class(const Job& job);
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
   void plan_job(Job& job, Instant now);
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
@@ -253,6 +256,7 @@
   std::map<SupplyKey, std::uint64_t> wanted_;
   std::uint64_t rentals_ = 0;
   std::optional<wire::RentRequest> rental_;       // under way, or unanswered
+  Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
   bool plan_wanted_ = false;
 };
 
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -27,6 +27,25 @@
   return std::max(Millis(1000), std::min(from_seconds(job.spec.estimate_s), constants::kPlanHorizon));
 }
 
+void Engine::learn_class(const Job& job) {
+  if (job.each.of[1] <= 0) return;
+  for (const std::size_t r : {0U, 2U}) {
+    beside_gpu_.of[r] = std::max(beside_gpu_.of[r], job.each.of[r] * 1000 / job.each.of[1]);
+  }
+}
+
+// PAPER 5.4, "expensive resources": X cores are kept free for jobs requesting GPUs.
+Amounts Engine::offered(const wire::JobSpec& spec, const wire::MachineType& kind) const {
+  Amounts all = Amounts::from(kind.cpus, kind.gpus, kind.ram_gb);
+  if (spec.gpus > 0 || kind.gpus <= 0) return all;
+  for (const std::size_t r : {0U, 2U}) {
+    // As long as no task with a GPU was seen, each GPU's share of the machine.
+    const plan::Items beside = beside_gpu_.of[r] > 0 ? beside_gpu_.of[r] * all.of[1] / 1000 : all.of[r];
+    all.of[r] = std::max<plan::Items>(0, all.of[r] - beside);
+  }
+  return all;
+}
+
 std::vector<Job*> Engine::planning_order(Instant now) {
   // What fits a team's guarantee, in order of submission, goes before what is borrowed; then by priority.
   struct Entry {
@@ -123,6 +142,15 @@
     const Machine& machine = machines_.at(info.id);
     if (!allows(job.spec, info.type, info.zone, info.spot)) return std::nullopt;
     if (job.failed_on.contains(info.id)) return std::nullopt;
+    if (job.spec.gpus <= 0 && info.capacity.of[1] > 0) {
+      Amounts plain = job.each;
+      for (const TaskKey& key : machine.runs) {
+        const Job& other = jobs_.at(key.job);
+        if (other.spec.gpus <= 0) plain += other.each;
+      }
+      const wire::MachineType* kind = type(info.type);
+      if (kind == nullptr || !plain.fits(offered(job.spec, *kind))) return std::nullopt;
+    }
     if (machine.state != MachineState::booting && !usable(machine, now)) return std::nullopt;
     if (machine.state == MachineState::booting && machine.ready < now) {
       // Late: how late nobody knows, so it is expected a moment ahead, again and again.
@@ -273,7 +301,7 @@
     double best_price = 0;
     std::int64_t best_fit = 0;
     for (const wire::MachineType& kind : types_) {
-      const std::int64_t fit = job->each.count_in(Amounts::from(kind.cpus, kind.gpus, kind.ram_gb));
+      const std::int64_t fit = job->each.count_in(offered(job->spec, kind));
       if (fit <= 0) continue;
       for (const std::string& zone : kind.zones) {
         for (const bool spot : {true, false}) {
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -103,6 +103,7 @@
   for (std::uint32_t part = 0; part < job.parts.size(); ++part) {
     job.parts[part].done.resize(state::part_size(record.spec.tasks, part));
   }
+  learn_class(job);
   if (record.whole) adopt_part(job, 0, *record.whole, now);
   plan_wanted_ = true;
   return job;
