--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -189,6 +189,16 @@
     std::optional<std::size_t> most;   // how many we had when the cloud refused more
   };
   using SupplyKey = std::tuple<std::string, std::string, bool>;   // type, zone, spot
+  struct Offer {
+    SupplyKey key;
+    double price = 0;        // an hour, for each of the tasks that would run on it
+    double full_price = 0;   // the same if it were full
+    std::int64_t fit = 0;
+  };
+  struct ClassDemand {
+    wire::JobSpec sample;
+    std::deque<std::pair<Instant, std::uint32_t>> arrivals;   // when, and how many tasks
+  };
 
   // records
   Job& add_job(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, Instant now);
@@ -231,6 +241,13 @@
   [[nodiscard]] std::vector<std::uint32_t> pending_tasks(const Job& job, std::uint32_t most) const;
   void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
   [[nodiscard]] Millis patience(const Job& job, Instant now) const;
+  // fleet size
+  [[nodiscard]] bool urgent_class(const std::string& job_class) const;
+  [[nodiscard]] bool serves_urgent(const Machine& machine) const;
+  [[nodiscard]] std::optional<Offer> cheapest(const wire::JobSpec& spec, std::int64_t tasks, double ratio_most,
+                                              const std::map<SupplyKey, std::size_t>& have, Instant now) const;
+  [[nodiscard]] std::int64_t spare_for(const wire::JobSpec& spec, Instant now, std::set<MachineId>* on) const;
+  [[nodiscard]] std::int64_t reserve_for(ClassDemand& demand, Instant now) const;
   void size_fleet(Instant now);
   [[nodiscard]] std::map<SupplyKey, std::size_t> held() const;
   void note_refusal(const wire::RentRequest& request, Instant now);
@@ -256,6 +273,8 @@
   std::map<SupplyKey, std::uint64_t> wanted_;
   std::uint64_t rentals_ = 0;
   std::optional<wire::RentRequest> rental_;       // under way, or unanswered
+  std::map<std::string, ClassDemand> classes_;
+  std::set<MachineId> reserve_;                   // idle, but kept for what may come
   Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
   bool plan_wanted_ = false;
 };
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -281,7 +281,8 @@
       machine.idle_since.reset();
     } else if (!machine.idle_since) {
       machine.idle_since = now;
-    } else if (settings_.operators.may_return && now - *machine.idle_since > idle_most && may_start(now)) {
+    } else if (settings_.operators.may_return && !reserve_.contains(id) && may_start(now) &&
+               now - *machine.idle_since > (serves_urgent(machine) ? std::max(idle_most, constants::kReturnIdleUrgent) : idle_most)) {
       machine.state = MachineState::returning;
       machine.why = "it is idle";
     }
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -27,25 +27,6 @@
   return std::max(Millis(1000), std::min(from_seconds(job.spec.estimate_s), constants::kPlanHorizon));
 }
 
-void Engine::learn_class(const Job& job) {
-  if (job.each.of[1] <= 0) return;
-  for (const std::size_t r : {0U, 2U}) {
-    beside_gpu_.of[r] = std::max(beside_gpu_.of[r], job.each.of[r] * 1000 / job.each.of[1]);
-  }
-}
-
-// PAPER 5.4, "expensive resources": X cores are kept free for jobs requesting GPUs.
-Amounts Engine::offered(const wire::JobSpec& spec, const wire::MachineType& kind) const {
-  Amounts all = Amounts::from(kind.cpus, kind.gpus, kind.ram_gb);
-  if (spec.gpus > 0 || kind.gpus <= 0) return all;
-  for (const std::size_t r : {0U, 2U}) {
-    // As long as no task with a GPU was seen, each GPU's share of the machine.
-    const plan::Items beside = beside_gpu_.of[r] > 0 ? beside_gpu_.of[r] * all.of[1] / 1000 : all.of[r];
-    all.of[r] = std::max<plan::Items>(0, all.of[r] - beside);
-  }
-  return all;
-}
-
 std::vector<Job*> Engine::planning_order(Instant now) {
   // What fits a team's guarantee, in order of submission, goes before what is borrowed; then by priority.
   struct Entry {
@@ -79,15 +60,6 @@
   return jobs;
 }
 
-Millis Engine::patience(const Job& job, Instant now) const {
-  // How long its tasks may wait from now on before machines are rented for them.
-  if (job.spec.deadline_s) {
-    const Instant latest = job.submitted + from_seconds(*job.spec.deadline_s) - estimate(job) * 3 / 2;
-    return std::max(Millis(0), latest - now);
-  }
-  return Millis(0);
-}
-
 bool Engine::plan_pass(Instant now) {
   if (!leading_) return false;
   plan_wanted_ = false;
@@ -283,46 +255,4 @@
   return any;
 }
 
-void Engine::size_fleet(Instant now) {
-  wanted_.clear();
-  if (types_.empty() || !settings_.operators.may_rent) return;
-  // Tasks that would wait too long, by what they take; each kind of machine that could run them has a price
-  // for one task.
-  const std::map<SupplyKey, std::size_t> have = held();
-  std::map<SupplyKey, double> shares;   // machines, of which a task may be a part
-  for (const Job* job : planning_order(now)) {
-    if (job->late_tasks == 0) continue;
-    std::uint32_t late = job->late_tasks;
-    // No more than the team's limit lets run at once.
-    while (late > 0 && !quota_for(*job, late)) --late;
-    if (late == 0) continue;
-    const SupplyKey* best = nullptr;
-    SupplyKey best_key;
-    double best_price = 0;
-    std::int64_t best_fit = 0;
-    for (const wire::MachineType& kind : types_) {
-      const std::int64_t fit = job->each.count_in(offered(job->spec, kind));
-      if (fit <= 0) continue;
-      for (const std::string& zone : kind.zones) {
-        for (const bool spot : {true, false}) {
-          if (!allows(job->spec, kind.name, zone, spot)) continue;
-          SupplyKey key{kind.name, zone, spot};
-          const auto held_now = have.find(key);
-          if (!on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
-          const double price = (spot ? kind.spot_price : kind.price) / static_cast<double>(std::min<std::int64_t>(fit, late));
-          if (best == nullptr || price < best_price) {
-            best_key = std::move(key);
-            best = &best_key;
-            best_price = price;
-            best_fit = fit;
-          }
-        }
-      }
-    }
-    if (best == nullptr) continue;
-    shares[best_key] += static_cast<double>(late) / static_cast<double>(best_fit);
-  }
-  for (const auto& [key, share] : shares) wanted_[key] = static_cast<std::uint64_t>(std::ceil(share));
-}
-
 }  // namespace foxshunt::control
--- /dev/null
+++ b/src/control/engine_size.cpp
@@ -0,0 +1,161 @@
+// How many machines, of which kinds: for tasks that would wait too long, and as a reserve for classes whose
+// objectives leave no time for a boot.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "config/constants.h"
+#include "control/engine.h"
+#include "control/times.h"
+
+namespace foxshunt::control {
+
+void Engine::learn_class(const Job& job) {
+  ClassDemand& demand = classes_[job.spec.job_class];
+  demand.sample = job.spec;
+  demand.arrivals.emplace_back(job.submitted, job.spec.tasks);
+  if (job.each.of[1] <= 0) return;
+  for (const std::size_t r : {0U, 2U}) {
+    beside_gpu_.of[r] = std::max(beside_gpu_.of[r], job.each.of[r] * 1000 / job.each.of[1]);
+  }
+}
+
+// PAPER 5.4, "expensive resources": X cores are kept free for jobs requesting GPUs.
+Amounts Engine::offered(const wire::JobSpec& spec, const wire::MachineType& kind) const {
+  Amounts all = Amounts::from(kind.cpus, kind.gpus, kind.ram_gb);
+  if (spec.gpus > 0 || kind.gpus <= 0) return all;
+  const bool elsewhere = std::ranges::any_of(types_, [&](const wire::MachineType& other) {
+    return other.gpus <= 0 && (spec.types.empty() || std::ranges::find(spec.types, other.name) != spec.types.end()) &&
+           Amounts::from(spec.cpus, 0, spec.ram_gb).fits(Amounts::from(other.cpus, 0, other.ram_gb));
+  });
+  if (!elsewhere) return all;   // it can't run without
+  for (const std::size_t r : {0U, 2U}) {
+    // As long as no task with a GPU was seen, each GPU's share of the machine.
+    const plan::Items beside = beside_gpu_.of[r] > 0 ? beside_gpu_.of[r] * all.of[1] / 1000 : all.of[r];
+    all.of[r] = std::max<plan::Items>(0, all.of[r] - beside);
+  }
+  return all;
+}
+
+bool Engine::urgent_class(const std::string& job_class) const {
+  return std::ranges::any_of(settings_.objectives, [&](const config::Objective& objective) {
+    return (objective.kind == "wait" || objective.kind == "finished") && objective.job_class == job_class;
+  });
+}
+
+bool Engine::serves_urgent(const Machine& machine) const {
+  const wire::MachineType* kind = type(machine.type);
+  if (kind == nullptr) return false;
+  return std::ranges::any_of(classes_, [&](const auto& entry) {
+    const wire::JobSpec& spec = entry.second.sample;
+    return urgent_class(entry.first) && allows(spec, machine.type, machine.zone, machine.spot) &&
+           Amounts::from(spec.cpus, spec.gpus, spec.ram_gb).count_in(offered(spec, *kind)) > 0;
+  });
+}
+
+Millis Engine::patience(const Job& job, Instant now) const {
+  // How long its tasks may wait from now on before machines are rented for them.
+  if (job.spec.deadline_s) {
+    const Instant latest = job.submitted + from_seconds(*job.spec.deadline_s) - estimate(job) * 3 / 2;
+    return std::max(Millis(0), latest - now);
+  }
+  return Millis(0);
+}
+
+std::optional<Engine::Offer> Engine::cheapest(const wire::JobSpec& spec, std::int64_t tasks, double ratio_most,
+                                              const std::map<SupplyKey, std::size_t>& have, Instant now) const {
+  const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
+  std::optional<Offer> best;
+  double least = 0;   // of any kind, whether there is one to rent or not
+  for (const wire::MachineType& kind : types_) {
+    const std::int64_t fit = each.count_in(offered(spec, kind));
+    if (fit <= 0) continue;
+    for (const std::string& zone : kind.zones) {
+      for (const bool spot : {true, false}) {
+        if (!allows(spec, kind.name, zone, spot)) continue;
+        const double hourly = spot ? kind.spot_price : kind.price;
+        const double full = hourly / static_cast<double>(fit);
+        if (least == 0 || full < least) least = full;
+        SupplyKey key{kind.name, zone, spot};
+        const auto held_now = have.find(key);
+        if (!on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
+        const double price = hourly / static_cast<double>(std::min(fit, tasks));
+        if (!best || price < best->price) best = Offer{.key = std::move(key), .price = price, .full_price = full, .fit = fit};
+      }
+    }
+  }
+  if (best && best->full_price > least * ratio_most) return std::nullopt;
+  return best;
+}
+
+// How many more tasks of the class could start on machines that are up or booting.
+std::int64_t Engine::spare_for(const wire::JobSpec& spec, Instant now, std::set<MachineId>* on) const {
+  const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
+  std::int64_t spare = 0;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.state != MachineState::booting && !usable(machine, now)) continue;
+    const wire::MachineType* kind = type(machine.type);
+    const plan::ResourceSet* use = planner_.use_of(id);
+    if (kind == nullptr || use == nullptr || !allows(spec, machine.type, machine.zone, machine.spot)) continue;
+    if (each.count_in(offered(spec, *kind)) <= 0) continue;
+    const Instant from = std::max(now, machine.ready);
+    const std::int64_t fit = each.count_in(use->free(from, from + constants::kAllocationLimit));
+    if (fit <= 0) continue;
+    spare += fit;
+    if (on != nullptr) on->insert(id);
+  }
+  return spare;
+}
+
+std::int64_t Engine::reserve_for(ClassDemand& demand, Instant now) const {
+  const Instant since = now - constants::kDemandWindow;
+  while (!demand.arrivals.empty() && demand.arrivals.front().first < since) demand.arrivals.pop_front();
+  if (demand.arrivals.empty()) return 0;
+  double boot_s = 0;
+  for (const wire::MachineType& kind : types_) {
+    const Amounts each = Amounts::from(demand.sample.cpus, demand.sample.gpus, demand.sample.ram_gb);
+    if (each.count_in(offered(demand.sample, kind)) > 0) boot_s = boot_s == 0 ? kind.boot_s : std::min(boot_s, kind.boot_s);
+  }
+  double tasks = 0;
+  for (const auto& [unused, count] : demand.arrivals) tasks += count;
+  const double window_s = to_seconds(constants::kDemandWindow);
+  const double cover_s = boot_s * constants::kBootSlack + settings_.report_s;
+  const double jobs = static_cast<double>(demand.arrivals.size()) / window_s * cover_s;
+  const double mean = tasks / static_cast<double>(demand.arrivals.size());
+  // Arrivals scatter like a Poisson process; the reserve covers what comes while a machine boots.
+  return static_cast<std::int64_t>(std::ceil((jobs + constants::kReserveSpread * std::sqrt(jobs)) * mean));
+}
+
+void Engine::size_fleet(Instant now) {
+  wanted_.clear();
+  reserve_.clear();
+  if (types_.empty()) return;
+  const std::map<SupplyKey, std::size_t> have = held();
+  std::map<SupplyKey, double> shares;   // machines, of which a task may be a part
+  for (const Job* job : planning_order(now)) {
+    if (job->late_tasks == 0) continue;
+    std::uint32_t late = job->late_tasks;
+    // No more than the team's limit lets run at once.
+    while (late > 0 && !quota_for(*job, late)) --late;
+    if (late == 0) continue;
+    const auto offer = cheapest(job->spec, late, constants::kLatePriceMost, have, now);
+    if (!offer) continue;
+    shares[offer->key] += static_cast<double>(late) / static_cast<double>(offer->fit);
+  }
+  for (auto& [name, demand] : classes_) {
+    if (!urgent_class(name)) continue;
+    const std::int64_t reserve = reserve_for(demand, now);
+    if (reserve == 0) continue;
+    std::set<MachineId> on;
+    const std::int64_t spare = spare_for(demand.sample, now, &on);
+    const std::int64_t missing = reserve - spare;
+    if (missing >= 0) reserve_.insert(on.begin(), on.end());
+    if (missing <= 0) continue;
+    const auto offer = cheapest(demand.sample, missing, constants::kReservePriceMost, have, now);
+    if (offer) shares[offer->key] += static_cast<double>(missing) / static_cast<double>(offer->fit);
+  }
+  for (const auto& [key, share] : shares) wanted_[key] = static_cast<std::uint64_t>(std::ceil(share));
+}
+
+}  // namespace foxshunt::control
