--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -246,6 +246,8 @@
   [[nodiscard]] bool serves_urgent(const Machine& machine) const;
   [[nodiscard]] std::optional<Offer> cheapest(const wire::JobSpec& spec, std::int64_t tasks, double ratio_most,
                                               const std::map<SupplyKey, std::size_t>& have, Instant now) const;
+  // An hour of the cheapest kind for one task of the job, whether there is one to rent or not.
+  [[nodiscard]] double least_price(const wire::JobSpec& spec) const;
   [[nodiscard]] std::int64_t spare_for(const wire::JobSpec& spec, Instant now, std::set<MachineId>* on) const;
   [[nodiscard]] std::int64_t reserve_for(ClassDemand& demand, Instant now) const;
   void size_fleet(Instant now);
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -49,11 +49,25 @@
   if (kind == nullptr) return false;
   return std::ranges::any_of(classes_, [&](const auto& entry) {
     const wire::JobSpec& spec = entry.second.sample;
-    return urgent_class(entry.first) && allows(spec, machine.type, machine.zone, machine.spot) &&
-           Amounts::from(spec.cpus, spec.gpus, spec.ram_gb).count_in(offered(spec, *kind)) > 0;
+    if (!urgent_class(entry.first) || !allows(spec, machine.type, machine.zone, machine.spot)) return false;
+    const std::int64_t fit = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb).count_in(offered(spec, *kind));
+    const double hourly = machine.spot ? kind->spot_price : kind->price;
+    return fit > 0 && hourly / static_cast<double>(fit) <= constants::kReservePriceMost * least_price(spec);
   });
 }
 
+double Engine::least_price(const wire::JobSpec& spec) const {
+  const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
+  double least = 0;
+  for (const wire::MachineType& kind : types_) {
+    const std::int64_t fit = each.count_in(offered(spec, kind));
+    if (fit <= 0 || (!spec.types.empty() && std::ranges::find(spec.types, kind.name) == spec.types.end())) continue;
+    const double price = (spec.spot ? std::min(kind.spot_price, kind.price) : kind.price) / static_cast<double>(fit);
+    if (least == 0 || price < least) least = price;
+  }
+  return least;
+}
+
 Millis Engine::patience(const Job& job, Instant now) const {
   // How long its tasks may wait from now on before machines are rented for them.
   if (job.spec.deadline_s) {
@@ -67,7 +81,6 @@
                                               const std::map<SupplyKey, std::size_t>& have, Instant now) const {
   const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
   std::optional<Offer> best;
-  double least = 0;   // of any kind, whether there is one to rent or not
   for (const wire::MachineType& kind : types_) {
     const std::int64_t fit = each.count_in(offered(spec, kind));
     if (fit <= 0) continue;
@@ -76,7 +89,6 @@
         if (!allows(spec, kind.name, zone, spot)) continue;
         const double hourly = spot ? kind.spot_price : kind.price;
         const double full = hourly / static_cast<double>(fit);
-        if (least == 0 || full < least) least = full;
         SupplyKey key{kind.name, zone, spot};
         const auto held_now = have.find(key);
         if (!on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
@@ -85,7 +97,7 @@
       }
     }
   }
-  if (best && best->full_price > least * ratio_most) return std::nullopt;
+  if (best && best->full_price > least_price(spec) * ratio_most) return std::nullopt;
   return best;
 }
 
