--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -157,13 +157,7 @@
     return known_or(client, *id, until, plain_error(422, *why));
   }
 
-  state::JobRecord record{.spec = spec, .submitted_wall_ms = wall_ms(), .whole = {}};
-  if (state::parts_of(spec.tasks) == 1) {
-    record.whole = state::PartRecord{.next = AttemptNo{1}, .done = std::vector<bool>(spec.tasks), .runs = {}};
-  }
-  state::Txn txn;
-  txn.conditions = {{.key = state::live_key(*id), .mark = {}}, {.key = state::over_key(*id), .mark = {}}};
-  txn.changes = {{.key = state::live_key(*id), .data = state::to_value(record), .lease = {}}};
+  const state::Txn txn = state::accept_txn(state::new_job(spec, wall_ms()));
   const state::TxnResult result = client.txn(txn, until);
   switch (result.answer) {
     case state::Answer::ok:
@@ -199,16 +193,8 @@
     if (seen.found == Found::over) return status_answer(200, seen.status);
     if (seen.found == Found::nowhere) return plain_error(404, "no such job");
     if (seen.found == Found::unknown) return come_back("the state service can't be reached");
-    // Conditioned on the record as read: a placement and this can't both win unseen by each other.
     const wire::JobStatus withdrawn{.id = id, .state = wire::JobState::withdrawn, .done = seen.status.done, .running = 0};
-    state::Txn txn;
-    txn.conditions = {{.key = state::live_key(id), .mark = seen.live.mark}, {.key = state::over_key(id), .mark = {}}};
-    txn.changes = {{.key = state::live_key(id), .data = {}, .lease = {}},
-                   {.key = state::over_key(id), .data = state::over_value(withdrawn), .lease = {}}};
-    if (!seen.record.whole || !seen.record.whole->runs.empty()) {
-      // What the job may have on machines is kept until a leader has proved it gone.
-      txn.changes.push_back({.key = state::linger_key(id), .data = seen.live.data, .lease = {}});
-    }
+    const state::Txn txn = state::withdraw_txn(seen.record, seen.live.mark);
     const state::TxnResult result = client.txn(txn, until);
     if (result.answer == state::Answer::ok) {
       spdlog::info("job {} withdrawn by its user", id.text());
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -22,20 +22,13 @@
 LeaderDuty::LeaderDuty(Context& context)
     : context_(context), client_(context.state_address, context.budget, state::Urgency::duty) {}
 
-bool LeaderDuty::View::read() const { return answered(holder.answer) && answered(term.answer); }
-
-LeaderDuty::View LeaderDuty::look() {
-  View view;
-  view.holder = client_.get(state::kHolderKey, call_limit());
-  if (!answered(view.holder.answer)) return view;
-  view.term = client_.get(state::kTermKey, call_limit());
-  if (!answered(view.term.answer)) return view;
+std::optional<state::LeadView> LeaderDuty::look() {
+  const state::GetResult holder = client_.get(state::kHolderKey, call_limit());
+  if (!answered(holder.answer)) return std::nullopt;
+  const state::GetResult term = client_.get(state::kTermKey, call_limit());
+  if (!answered(term.answer)) return std::nullopt;
   context_.heard_state();
-  if (view.term.answer == Answer::ok) {
-    view.record = state::term_from(view.term.entry.data);
-    view.others_until_wall_ms = static_cast<std::int64_t>(view.term.entry.data.count("until"));
-  }
-  return view;
+  return state::lead_view(holder, term);
 }
 
 void LeaderDuty::show(const NodeName& leader, Term term) {
@@ -49,21 +42,20 @@
 void LeaderDuty::run(const std::stop_token& stop) {
   while (!stop.stop_requested()) {
     try {
-      const View view = look();
-      if (!view.read()) {
+      const auto view = look();
+      if (!view) {
         pause(stop, constants::kStateRetryPause);
         continue;
       }
-      const bool held = view.holder.answer == Answer::ok;
       // A lease of this node's earlier life: that process has ended, so it can't act any more.
-      const bool own = held && view.record.leader == context_.settings.name;
-      if (held && !own) {
-        show(view.record.leader, view.record.term);
-        watch(stop, view);
+      const bool own = view->record.leader == context_.settings.name;
+      if (view->holder_mark != Revision{} && !own) {
+        show(view->record.leader, view->record.term);
+        watch(stop, *view);
         continue;
       }
-      show({}, view.record.term);
-      if (take(view)) hold(stop);
+      show({}, view->record.term);
+      if (take(*view)) hold(stop);
     } catch (const wire::Malformed& error) {
       spdlog::error("leadership records cannot be read: {}", error.what());
       pause(stop, constants::kStateRetryPause);
@@ -73,8 +65,8 @@
   if (lease_.number != 0) (void)client_.revoke(lease_, call_limit());
 }
 
-void LeaderDuty::watch(const std::stop_token& stop, const View& view) {
-  Revision from = std::max(view.holder.entry.mark, view.term.entry.mark);
+void LeaderDuty::watch(const std::stop_token& stop, const state::LeadView& view) {
+  Revision from = std::max(view.holder_mark, view.term_mark);
   while (!stop.stop_requested()) {
     const state::FollowResult news = client_.follow(state::kLeadPrefix, from, constants::kLeaderWatchHold,
                                                     call_limit() + constants::kLeaderWatchHold);
@@ -88,46 +80,29 @@
   }
 }
 
-bool LeaderDuty::take(const View& view) {
+bool LeaderDuty::take(const state::LeadView& view) {
   const auto lease = client_.grant(constants::kLeaderLease, call_limit());
   if (!lease) return false;
   lease_ = *lease;
+  const NodeName& self = context_.settings.name;
   const Term term = view.record.term.next();
-  // Until when older leaders may answer workers. One that is cut off goes on until its fence, which it reckons
-  // from the last time that its lease was confirmed, and that was before now.
-  const bool own = view.record.leader == context_.settings.name;
-  const bool first = view.term.answer == Answer::not_found;
-  const auto skew = static_cast<std::int64_t>(2 * context_.settings.skew_ms);
-  const std::int64_t until = first ? 0
-                             : own ? view.others_until_wall_ms
-                                   : wall_ms() + skew + control::fence_span(context_.settings).count();
-  wire::Value record = state::to_value({.term = term, .leader = context_.settings.name});
-  record.as_map()->emplace_back("until", static_cast<std::uint64_t>(until));
-  state::Txn txn;
-  txn.conditions = {{.key = state::kHolderKey, .mark = view.holder.entry.mark},
-                    {.key = state::kTermKey, .mark = view.term.entry.mark}};
-  txn.changes = {{.key = state::kHolderKey, .data = wire::Value::Map{{"node", context_.settings.name.text()}}, .lease = lease_},
-                 {.key = state::kTermKey, .data = record, .lease = {}}};
-  state::TxnResult result = client_.txn(txn, call_limit());
+  const std::int64_t until = state::others_until(view, self, wall_ms(), control::fence_span(context_.settings).count(),
+                                                 static_cast<std::int64_t>(context_.settings.skew_ms));
+  state::TxnResult result = client_.txn(state::take_lead_txn(view, self, lease_, until), call_limit());
   if (result.answer == Answer::none) {
-    const View now_there = look();
-    if (now_there.read() && now_there.record.term == term && now_there.record.leader == context_.settings.name) {
+    const auto there = look();
+    if (there && there->record.term == term && there->record.leader == self) {
       result.answer = Answer::ok;
-      result.revision = now_there.term.entry.mark;
+      result.revision = there->term_mark;
     }
   }
-  if (result.answer != Answer::ok) {
-    (void)client_.revoke(lease_, call_limit());
-    lease_ = {};
-    return false;
-  }
-  if (load(view, result.revision, term, until)) return true;
+  if (result.answer == Answer::ok && load(result.revision, term, until)) return true;
   (void)client_.revoke(lease_, call_limit());
   lease_ = {};
   return false;
 }
 
-bool LeaderDuty::load(const View&, Revision term_mark, Term term, std::int64_t others_until_wall_ms) {
+bool LeaderDuty::load(Revision term_mark, Term term, std::int64_t others_until_wall_ms) {
   const plan::Instant began = now();
   state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit);
   if (live.answer != Answer::ok) return false;
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -15,17 +15,11 @@
   void run(const std::stop_token& stop);
 
  private:
-  struct View {
-    state::GetResult holder;
-    state::GetResult term;
-    state::TermRecord record;
-    std::int64_t others_until_wall_ms = 0;
-    [[nodiscard]] bool read() const;
-  };
-  View look();
-  void watch(const std::stop_token& stop, const View& view);
-  bool take(const View& view);
-  bool load(const View& before, Revision term_mark, Term term, std::int64_t others_until_wall_ms);
+  // Nothing when the state service did not answer.
+  std::optional<state::LeadView> look();
+  void watch(const std::stop_token& stop, const state::LeadView& view);
+  bool take(const state::LeadView& view);
+  bool load(Revision term_mark, Term term, std::int64_t others_until_wall_ms);
   void hold(const std::stop_token& stop);
   void show(const NodeName& leader, Term term);
 
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -144,6 +144,60 @@
   return status;
 }
 
+JobRecord new_job(const wire::JobSpec& spec, std::int64_t wall_ms) {
+  JobRecord job{.spec = spec, .submitted_wall_ms = wall_ms, .whole = {}};
+  if (parts_of(spec.tasks) == 1) {
+    job.whole = PartRecord{.next = AttemptNo{1}, .done = std::vector<bool>(spec.tasks), .runs = {}};
+  }
+  return job;
+}
+
+Txn accept_txn(const JobRecord& job) {
+  const std::string live = live_key(job.spec.id);
+  return {.conditions = {{.key = live, .mark = {}}, {.key = over_key(job.spec.id), .mark = {}}},
+          .changes = {{.key = live, .data = to_value(job), .lease = {}}}};
+}
+
+Txn withdraw_txn(const JobRecord& job, Revision mark) {
+  const JobId& id = job.spec.id;
+  const wire::JobStatus withdrawn{
+      .id = id, .state = wire::JobState::withdrawn, .done = status_of(job).done, .running = 0};
+  Txn txn{.conditions = {{.key = live_key(id), .mark = mark}, {.key = over_key(id), .mark = {}}},
+          .changes = {{.key = live_key(id), .data = {}, .lease = {}},
+                      {.key = over_key(id), .data = over_value(withdrawn), .lease = {}}}};
+  // What the job may have on machines is kept until a leader has proved it gone.
+  if (!job.whole || !job.whole->runs.empty()) {
+    txn.changes.push_back({.key = linger_key(id), .data = to_value(job), .lease = {}});
+  }
+  return txn;
+}
+
+LeadView lead_view(const GetResult& holder, const GetResult& term) {
+  LeadView view{.holder_mark = holder.entry.mark, .term_mark = term.entry.mark};
+  if (term.answer == Answer::ok) {
+    view.record = term_from(term.entry.data);
+    view.others_until_wall_ms = static_cast<std::int64_t>(term.entry.data.count("until"));
+  }
+  return view;
+}
+
+std::int64_t others_until(const LeadView& view, const NodeName& node, std::int64_t wall_ms, std::int64_t fence_ms,
+                          std::int64_t skew_ms) {
+  if (view.term_mark == Revision{}) return 0;
+  // This node's earlier life has ended, and answers nobody; those before it may not have.
+  if (view.record.leader == node) return view.others_until_wall_ms;
+  // The last leader reckons its fence from when its lease was last confirmed, which was before now.
+  return wall_ms + fence_ms + 2 * skew_ms;
+}
+
+Txn take_lead_txn(const LeadView& view, const NodeName& node, LeaseId lease, std::int64_t others_until_wall_ms) {
+  Value record = to_value(TermRecord{.term = view.record.term.next(), .leader = node});
+  record.as_map()->emplace_back("until", static_cast<std::uint64_t>(others_until_wall_ms));
+  return {.conditions = {{.key = kHolderKey, .mark = view.holder_mark}, {.key = kTermKey, .mark = view.term_mark}},
+          .changes = {{.key = kHolderKey, .data = Value::Map{{"node", node.text()}}, .lease = lease},
+                      {.key = kTermKey, .data = record, .lease = {}}}};
+}
+
 Value to_value(const TermRecord& term) {
   return Value::Map{{"term", term.term.number()}, {"leader", term.leader.text()}};
 }
--- /dev/null
+++ b/tests/scenarios/days_test.cpp
@@ -0,0 +1,135 @@
+// Days with random jobs and random troubles, each with a fixed seed: whatever happens, no rule is broken, and
+// once the troubles are over every accepted job comes to its end.
+#include <gtest/gtest.h>
+
+#include <spdlog/spdlog.h>
+
+#include <cmath>
+
+#include "standins/world.h"
+
+namespace foxshunt::standins {
+namespace {
+
+config::Settings day_settings(bool short_leases) {
+  config::Settings settings;
+  settings.zones = {"a", "b"};
+  settings.nodes = 3;
+  settings.teams = {{.name = "red", .cpus = 32, .cpus_max = 64, .gpus = 0, .gpus_max = 0},
+                    {.name = "blue", .cpus = 16, .cpus_max = 40, .gpus = 2, .gpus_max = 6}};
+  settings.objectives = {{.kind = "wait", .job_class = "quick", .within_s = 8, .share = 0.8}};
+  settings.report_s = short_leases ? 1 : 3;
+  settings.lease_s = short_leases ? 10 : 27;
+  settings.gang_wait_s = 45;
+  settings.gang_peer_s = 4;
+  settings.cancel_s = short_leases ? 40 : 57;
+  settings.state_rps = 250;
+  settings.state_write_rps = 50;
+  settings.state_value_kb = 8;
+  settings.state_txn_ops = 12;
+  settings.cloud_rps = 2;
+  settings.cloud_list_lag_s = 5;
+  settings.max_connections = 100;
+  settings.skew_ms = 50;
+  return settings;
+}
+
+std::vector<Supply> day_supplies() {
+  return {{.type = {.name = "plain", .cpus = 16, .ram_gb = 64, .cache_gb = 50, .fetch_gb_per_s = 0.5, .price = 1, .spot_price = 0.3, .boot_s = 15, .zones = {"a", "b"}},
+           .each_zone = 3,
+           .spot_each_zone = 2},
+          {.type = {.name = "gpu", .cpus = 16, .gpus = 4, .ram_gb = 64, .cache_gb = 50, .fetch_gb_per_s = 0.5, .price = 5, .spot_price = 2, .boot_s = 20, .zones = {"a"}},
+           .each_zone = 2,
+           .spot_each_zone = 1}};
+}
+
+class Days : public testing::TestWithParam<unsigned> {};
+
+TEST_P(Days, KeepTheRules) {
+  spdlog::set_level(spdlog::level::off);
+  const unsigned seed = GetParam();
+  std::mt19937 random(seed * 7919U);
+  const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
+  World world(day_settings(seed % 2 == 0), day_supplies(), 3, seed);
+  if (seed % 3 == 0) world.start_up("plain", "a", 2);
+
+  std::vector<JobId> jobs;
+  const int count = pick(6, 14);
+  for (int i = 0; i < count; ++i) {
+    std::string number = std::to_string(seed * 100 + static_cast<unsigned>(i));
+    Submission submission;
+    wire::JobSpec& spec = submission.spec;
+    spec.id = JobId("j-" + std::string(std::max<std::size_t>(6, number.size()) - number.size(), '0') + number);
+    spec.team = pick(0, 1) == 0 ? "red" : "blue";
+    spec.job_class = pick(0, 1) == 0 ? "quick" : "bulk";
+    spec.kind = std::vector{wire::JobKind::array, wire::JobKind::gang, wire::JobKind::array, wire::JobKind::service}[static_cast<std::size_t>(pick(0, 3))];
+    spec.priority = static_cast<wire::Priority>(pick(0, 3));
+    const bool gpus = pick(0, 3) == 0;
+    spec.cpus = gpus ? 2 : pick(1, 10);
+    spec.gpus = gpus ? 1 : 0;
+    spec.ram_gb = pick(1, 12);
+    spec.tasks = static_cast<std::uint32_t>(spec.kind == wire::JobKind::array ? pick(1, 9) : pick(1, 3));
+    spec.image = "img-" + std::to_string(pick(0, 2));
+    spec.image_gb = pick(0, 3);
+    spec.one_zone = pick(0, 2) == 0;
+    spec.spread = !spec.one_zone && !gpus && pick(0, 3) == 0;
+    if (pick(0, 4) == 0 && !gpus && !spec.spread) spec.zone = "b";
+    spec.spot = pick(0, 1) == 0;
+    submission.run_s = pick(3, 60);
+    spec.estimate_s = spec.kind == wire::JobKind::service ? 0 : std::max(1.0, submission.run_s * pick(5, 18) / 10.0);
+    if (pick(0, 1) == 0) {
+      spec.checkpoint_s = pick(3, 15);
+      spec.save_s = pick(1, 4);
+    }
+    if (pick(0, 2) == 0) spec.deadline_s = spec.estimate_s * 3;
+    const double when_s = pick(0, 120);
+    world.at(when_s, [&world, submission] { world.submit(submission); });
+    if (spec.kind == wire::JobKind::service || pick(0, 4) == 0) {
+      world.at(when_s + pick(0, 90), [&world, id = spec.id] { world.cancel(id); });
+    }
+    jobs.push_back(spec.id);
+  }
+  const auto machine = [&world, &random]() -> std::optional<MachineId> {
+    const std::vector<MachineId> names = world.machine_names();
+    if (names.empty()) return std::nullopt;
+    return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random)];
+  };
+  const int troubles = pick(2, 8);
+  for (int i = 0; i < troubles; ++i) {
+    const double when_s = pick(5, 170);
+    const auto node = static_cast<std::size_t>(pick(0, 2));
+    const double for_s = pick(2, 45);
+    const bool hold = pick(0, 1) == 0;
+    switch (pick(0, 11)) {
+      case 0: world.at(when_s, [&world, node] { world.crash(node, 6); }); break;
+      case 1:
+        for (std::size_t all = 0; all < 3; ++all) world.at(when_s, [&world, all] { world.crash(all, 6); });
+        break;
+      case 2: world.at(when_s, [&world, for_s] { world.state_outage(for_s); }); break;
+      case 3: world.at(when_s, [&world, for_s] { world.cloud_outage(for_s); }); break;
+      case 4: world.at(when_s, [&world, node, for_s, hold] { world.cut_node_from_state(node, for_s, hold); }); break;
+      case 5: world.at(when_s, [&world, node, for_s] { world.cut_node_from_workers(node, for_s); }); break;
+      case 6:
+      case 7: world.at(when_s, [&world, machine, for_s, hold] { if (const auto id = machine()) world.cut_worker(*id, for_s, hold); }); break;
+      case 8: world.at(when_s, [&world, machine, for_s] { if (const auto id = machine()) world.hang(*id, for_s); }); break;
+      case 9: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.die(*id); }); break;
+      case 10: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.notice(*id, 8); }); break;
+      default: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.make_faulty(*id); }); break;
+    }
+  }
+  world.run_until(600);
+  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  EXPECT_EQ(world.accepted().size(), jobs.size());
+  EXPECT_GT(world.rules().starts(), 0U);
+  for (const JobId& id : jobs) {
+    const auto status = world.ask(id);
+    ASSERT_TRUE(status) << id.text();
+    EXPECT_TRUE(status->state == wire::JobState::done || status->state == wire::JobState::withdrawn)
+        << id.text() << " is " << wire::name_of(status->state);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Days, testing::Range(1U, 201U));
+
+}  // namespace
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/state_store.cpp
@@ -0,0 +1,103 @@
+#include "standins/state_store.h"
+
+namespace foxshunt::standins {
+
+using state::Answer;
+
+state::GetResult StateStore::get(const std::string& key) const {
+  const auto found = items_.find(key);
+  if (found == items_.end()) return {.answer = Answer::not_found, .entry = {.key = key}};
+  return {.answer = Answer::ok, .entry = {.key = key, .data = found->second.data, .mark = found->second.mark}};
+}
+
+state::ListResult StateStore::list(const std::string& prefix) const {
+  state::ListResult result{.answer = Answer::ok, .entries = {}, .revision = revision_};
+  for (auto at = items_.lower_bound(prefix); at != items_.end() && at->first.starts_with(prefix); ++at) {
+    result.entries.push_back({.key = at->first, .data = at->second.data, .mark = at->second.mark});
+  }
+  return result;
+}
+
+void StateStore::put(const std::string& key, Item item) {
+  events_.push_back({.key = key, .data = item.data, .mark = item.mark});
+  items_[key] = std::move(item);
+}
+
+void StateStore::remove(const std::string& key) {
+  if (items_.erase(key) > 0) events_.push_back({.key = key, .data = {}, .mark = revision_});
+}
+
+state::TxnResult StateStore::txn(const state::Txn& txn) {
+  state::TxnResult result{.answer = Answer::ok, .revision = revision_, .failed = {}};
+  for (const state::Condition& condition : txn.conditions) {
+    const auto found = items_.find(condition.key);
+    const Revision mark = found == items_.end() ? Revision{} : found->second.mark;
+    if (mark != condition.mark) result.failed.push_back(condition.key);
+  }
+  for (const state::Change& change : txn.changes) {
+    if (change.lease && !leases_.contains(change.lease->number)) {
+      result.answer = Answer::rejected;
+      return result;
+    }
+  }
+  if (!result.failed.empty()) {
+    result.answer = Answer::conflict;
+    return result;
+  }
+  if (txn.changes.empty()) return result;
+  revision_ = revision_.next();
+  for (const state::Change& change : txn.changes) {
+    if (change.data) {
+      put(change.key, {.data = *change.data, .mark = revision_, .lease = change.lease ? change.lease->number : 0});
+    } else {
+      remove(change.key);
+    }
+  }
+  result.revision = revision_;
+  return result;
+}
+
+state::FollowResult StateStore::follow(const std::string& prefix, Revision from) const {
+  state::FollowResult result{.answer = Answer::ok, .revision = revision_, .events = {}};
+  for (const state::Event& event : events_) {
+    if (event.mark > from && event.key.starts_with(prefix)) result.events.push_back(event);
+  }
+  return result;
+}
+
+state::LeaseId StateStore::grant(Millis ttl, Instant now) {
+  const state::LeaseId lease{next_lease_++};
+  leases_[lease.number] = {.ttl = ttl, .until = now + ttl};
+  return lease;
+}
+
+state::Answer StateStore::touch(state::LeaseId lease, Instant now) {
+  const auto found = leases_.find(lease.number);
+  if (found == leases_.end()) return Answer::not_found;
+  found->second.until = now + found->second.ttl;
+  return Answer::ok;
+}
+
+void StateStore::revoke(state::LeaseId lease) {
+  if (leases_.erase(lease.number) == 0) return;
+  std::vector<std::string> attached;
+  for (const auto& [key, item] : items_) {
+    if (item.lease == lease.number) attached.push_back(key);
+  }
+  if (!attached.empty()) revision_ = revision_.next();
+  for (const std::string& key : attached) remove(key);
+}
+
+void StateStore::expire(Instant now) {
+  std::vector<state::LeaseId> ended;
+  for (const auto& [number, lease] : leases_) {
+    if (now > lease.until) ended.push_back({number});
+  }
+  for (const state::LeaseId lease : ended) revoke(lease);
+}
+
+void StateStore::renew_all(Instant now) {
+  for (auto& [unused, lease] : leases_) lease.until = now + lease.ttl;
+}
+
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/state_store.h
@@ -0,0 +1,51 @@
+// foxshunt's own stand-in for the state service: the same answers, in memory, with the time passed in.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "plan/usage_vector.h"
+#include "state/txn.h"
+
+namespace foxshunt::standins {
+
+using plan::Instant;
+using plan::Millis;
+
+class StateStore {
+ public:
+  [[nodiscard]] state::GetResult get(const std::string& key) const;
+  [[nodiscard]] state::ListResult list(const std::string& prefix) const;
+  [[nodiscard]] state::TxnResult txn(const state::Txn& txn);
+  [[nodiscard]] state::FollowResult follow(const std::string& prefix, Revision from) const;
+  [[nodiscard]] state::LeaseId grant(Millis ttl, Instant now);
+  [[nodiscard]] state::Answer touch(state::LeaseId lease, Instant now);
+  void revoke(state::LeaseId lease);
+  void expire(Instant now);
+  // After an outage all leases have their full time again.
+  void renew_all(Instant now);
+  [[nodiscard]] Revision revision() const { return revision_; }
+
+ private:
+  struct Item {
+    wire::Value data;
+    Revision mark;
+    std::uint64_t lease = 0;
+  };
+  struct Lease {
+    Millis ttl{};
+    Instant until;
+  };
+  void put(const std::string& key, Item item);
+  void remove(const std::string& key);
+
+  std::map<std::string, Item> items_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::deque<state::Event> events_;
+  Revision revision_;
+  std::uint64_t next_lease_ = 1;
+};
+
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/worker.cpp
@@ -0,0 +1,183 @@
+#include "standins/worker.h"
+
+#include <algorithm>
+
+#include "control/times.h"
+
+namespace foxshunt::standins {
+
+using control::from_seconds;
+using wire::EndReason;
+using wire::TaskState;
+
+Worker::Worker(MachineId id, const wire::MachineType& type, std::string zone, bool spot, Millis lease,
+               Surroundings& around, Instant now)
+    : id_(std::move(id)),
+      type_(type),
+      zone_(std::move(zone)),
+      spot_(spot),
+      lease_(lease),
+      around_(around),
+      lease_from_(now),
+      now_(now) {}
+
+wire::Report Worker::report() {
+  wire::Report made{.machine = id_,
+                    .address = "127.0.0.1:1",
+                    .type = type_.name,
+                    .zone = zone_,
+                    .spot = spot_,
+                    .session = session_,
+                    .sequence = ++sequence_,
+                    .term = term_};
+  if (taken_at) made.notice_s = std::max(0.0, control::to_seconds(*taken_at - now_));
+  for (const auto& [key, attempt] : attempts_) {
+    made.tasks.push_back({.task = key.first,
+                          .attempt = key.second,
+                          .state = attempt.state,
+                          .reason = attempt.reason,
+                          .saved = attempt.saved});
+  }
+  return made;
+}
+
+bool Worker::answer(Term term, const std::vector<wire::Command>& commands, SessionNo session, Instant sent, Instant now) {
+  if (session != session_ || term < term_ || term == Term{}) return false;
+  term_ = term;
+  lease_from_ = std::max(lease_from_, sent);
+  execute(commands, now);
+  return true;
+}
+
+bool Worker::direct(Term term, SessionNo session, const std::vector<wire::Command>& commands, Instant now) {
+  ++sequence_;
+  if (session != session_ || term < term_) return false;
+  term_ = term;
+  execute(commands, now);
+  return true;
+}
+
+void Worker::end(const TaskKey& task, Attempt& attempt, EndReason reason, Instant now) {
+  if (attempt.began && attempt.spec.checkpoint_s > 0 && reason != EndReason::done) {
+    const Millis progress = (attempt.saved ? *attempt.saved_at : now) - *attempt.began;
+    const Millis step = from_seconds(attempt.spec.checkpoint_s);
+    around_.keep_progress(task, attempt.saved ? progress : progress / step * step);
+  }
+  const bool was_there = attempt.on_machine;
+  attempt.state = TaskState::ended;
+  attempt.reason = reason;
+  attempt.on_machine = false;
+  if (was_there) around_.on_gone(task, attempt.number, id_, reason == EndReason::done);
+}
+
+void Worker::execute(const std::vector<wire::Command>& commands, Instant now) {
+  for (const wire::Command& command : commands) {
+    const auto key = std::pair(command.task, command.attempt);
+    const auto known = attempts_.find(key);
+    if (command.kind == wire::CommandKind::clear) {
+      if (known != attempts_.end() && known->second.state == TaskState::ended) attempts_.erase(known);
+    } else if (command.kind == wire::CommandKind::halt) {
+      if (known == attempts_.end() || known->second.state == TaskState::ended) continue;
+      Attempt& attempt = known->second;
+      const bool can_save = attempt.state == TaskState::running && attempt.spec.checkpoint_s > 0 && attempt.began;
+      if (attempt.state == TaskState::saving && command.grace_s > 0) continue;
+      if (can_save && command.grace_s >= attempt.spec.save_s) {
+        attempt.state = TaskState::saving;
+        attempt.saved_at = now;
+      } else {
+        end(command.task, attempt, EndReason::stopped, now);
+      }
+    } else if (known == attempts_.end()) {
+      Attempt attempt{.spec = {}, .number = command.attempt};
+      const wire::JobSpec* spec = around_.job(command.task.job);
+      double cpus = 0;
+      double gpus = 0;
+      double ram_gb = 0;
+      bool elsewhere = false;
+      for (const auto& [other, there] : attempts_) {
+        if (there.state == TaskState::ended) continue;
+        cpus += there.spec.cpus;
+        gpus += there.spec.gpus;
+        ram_gb += there.spec.ram_gb;
+        elsewhere = elsewhere || other.first == command.task;
+      }
+      if (spec != nullptr) attempt.spec = *spec;
+      if (spec == nullptr || command.task.index >= spec->tasks) {
+        attempt.state = TaskState::ended;
+        attempt.reason = EndReason::unknown;
+      } else if (elsewhere) {
+        attempt.state = TaskState::ended;
+        attempt.reason = EndReason::in_use;
+      } else if (cpus + spec->cpus > type_.cpus || gpus + spec->gpus > type_.gpus || ram_gb + spec->ram_gb > type_.ram_gb) {
+        attempt.state = TaskState::ended;
+        attempt.reason = EndReason::no_room;
+      } else {
+        attempt.ready = now + (images_.contains(spec->image) ? Millis(0) : from_seconds(spec->image_gb / type_.fetch_gb_per_s));
+      }
+      attempts_.emplace(key, attempt);
+    }
+  }
+}
+
+bool Worker::advance(Instant now) {
+  now_ = now;
+  if (!alive || hung) return false;
+  bool changed = false;
+  if (now - lease_from_ > lease_) {
+    for (auto& [key, attempt] : attempts_) {
+      if (attempt.state != TaskState::ended) end(key.first, attempt, EndReason::error, lease_from_ + lease_);
+    }
+    attempts_.clear();
+    session_ = session_.next();
+    lease_from_ = now;
+    return true;
+  }
+  for (auto& [key, attempt] : attempts_) {
+    if (attempt.state == TaskState::fetching && now >= attempt.ready) {
+      images_.insert(attempt.spec.image);
+      attempt.on_machine = true;
+      attempt.state = attempt.spec.kind == wire::JobKind::gang ? TaskState::waiting : TaskState::running;
+      around_.on_started(key.first, key.second, id_);
+      changed = true;
+      if (around_.is_done(key.first)) {
+        end(key.first, attempt, EndReason::done, now);
+        continue;
+      }
+      if (faulty) {
+        end(key.first, attempt, EndReason::error, now);
+        continue;
+      }
+      if (attempt.state == TaskState::running) {
+        attempt.began = now;
+        attempt.length = around_.run_left(key.first);
+      }
+    }
+    if (attempt.state == TaskState::waiting && gang_ready && gang_ready(key.first.job, key.second)) {
+      attempt.state = TaskState::running;
+      attempt.began = now;
+      attempt.length = around_.run_left(key.first);
+      changed = true;
+    }
+    if (attempt.state == TaskState::running && attempt.spec.kind != wire::JobKind::service &&
+        now - *attempt.began >= attempt.length) {
+      end(key.first, attempt, EndReason::done, now);
+      changed = true;
+    }
+    if (attempt.state == TaskState::saving && now - *attempt.saved_at >= from_seconds(attempt.spec.save_s)) {
+      attempt.saved = true;
+      end(key.first, attempt, EndReason::stopped, now);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+void Worker::kill(Instant now) {
+  alive = false;
+  for (auto& [key, attempt] : attempts_) {
+    if (attempt.state != TaskState::ended) end(key.first, attempt, EndReason::error, now);
+  }
+  attempts_.clear();
+}
+
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/worker.h
@@ -0,0 +1,89 @@
+// foxshunt's own stand-in for a worker and its machine: sessions, leases, tokens, commands and gangs as
+// PROTOCOL has them. Time is passed in; whoever owns it carries its reports.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "plan/usage_vector.h"
+#include "wire/messages.h"
+
+namespace foxshunt::standins {
+
+using plan::Instant;
+using plan::Millis;
+
+struct Attempt {
+  wire::JobSpec spec;
+  AttemptNo number;
+  wire::TaskState state = wire::TaskState::fetching;
+  wire::EndReason reason = wire::EndReason::none;
+  bool saved = false;
+  bool on_machine = false;       // from having its image until it ends
+  Instant ready;                 // when its image is there
+  std::optional<Instant> began;  // running since
+  Millis length{};               // run time left when it began
+  std::optional<Instant> saved_at;
+};
+
+// What a worker asks of the world around it.
+class Surroundings {
+ public:
+  virtual ~Surroundings() = default;
+  virtual const wire::JobSpec* job(const JobId& id) = 0;                  // what its user uploaded
+  virtual Millis run_left(const TaskKey& task) = 0;                       // after what was saved
+  virtual bool is_done(const TaskKey& task) = 0;
+  virtual void keep_progress(const TaskKey& task, Millis progress) = 0;   // saved outside the machine
+  virtual void on_started(const TaskKey& task, AttemptNo attempt, const MachineId& machine) = 0;
+  virtual void on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& machine, bool done) = 0;
+};
+
+class Worker {
+ public:
+  Worker(MachineId id, const wire::MachineType& type, std::string zone, bool spot, Millis lease, Surroundings& around,
+         Instant now);
+
+  [[nodiscard]] wire::Report report();
+  // The answer to a report that was sent at `sent`; false when it was dropped.
+  bool answer(Term term, const std::vector<wire::Command>& commands, SessionNo session, Instant sent, Instant now);
+  // POST /commands: whether they were executed.
+  bool direct(Term term, SessionNo session, const std::vector<wire::Command>& commands, Instant now);
+  // Lets time pass: images arrive, tasks end, the lease may expire. True when something changed.
+  bool advance(Instant now);
+  void kill(Instant now);   // the machine is gone
+
+  [[nodiscard]] const MachineId& id() const { return id_; }
+  [[nodiscard]] std::map<std::pair<TaskKey, AttemptNo>, Attempt>& attempts() { return attempts_; }
+  [[nodiscard]] Term term() const { return term_; }
+  [[nodiscard]] SessionNo session() const { return session_; }
+
+  bool alive = true;
+  bool hung = false;
+  bool faulty = false;                    // tasks fail on it
+  std::optional<Instant> taken_at;        // announced
+  std::function<bool(const JobId&, AttemptNo)> gang_ready;   // all tasks of the attempt have their image
+
+ private:
+  void execute(const std::vector<wire::Command>& commands, Instant now);
+  void end(const TaskKey& task, Attempt& attempt, wire::EndReason reason, Instant now);
+
+  MachineId id_;
+  wire::MachineType type_;
+  std::string zone_;
+  bool spot_;
+  Millis lease_;
+  Surroundings& around_;
+  SessionNo session_{1};
+  std::uint64_t sequence_ = 0;
+  Term term_;
+  Instant lease_from_;
+  std::map<std::pair<TaskKey, AttemptNo>, Attempt> attempts_;
+  std::set<std::string> images_;
+  Instant now_;
+};
+
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/world.cpp
@@ -0,0 +1,687 @@
+#include "standins/world.h"
+
+#include <algorithm>
+
+#include "config/constants.h"
+#include "control/times.h"
+
+namespace foxshunt::standins {
+
+using control::from_seconds;
+using state::Answer;
+
+namespace {
+
+constexpr Millis kStep{50};                 // of duties and workers
+constexpr std::int64_t kWallStart = 1'800'000'000'000;
+
+}  // namespace
+
+World::World(config::Settings settings, std::vector<Supply> supplies, std::size_t nodes, unsigned seed)
+    : settings_(std::move(settings)), supplies_(std::move(supplies)), random_(seed), now_(Millis(1'000'000)), rules_(settings_) {
+  nodes_.resize(nodes);
+  for (std::size_t node = 0; node < nodes; ++node) {
+    config::Settings own = settings_;
+    own.name = NodeName("node-" + std::to_string(node));
+    nodes_[node].engine = std::make_unique<control::Engine>(own);
+    nodes_[node].engine->on_types(types());
+    after(Millis(10 * (node + 1)), [this, node] { duties(node, 0); });
+  }
+  after(Millis(500), [this] { poll_users(); });
+}
+
+double World::control_seconds(Instant when) { return control::to_seconds(when.time_since_epoch()) - 1000; }
+
+std::int64_t World::wall_ms() const { return kWallStart + now_.time_since_epoch().count(); }
+
+void World::at(double when_s, std::function<void()> what) {
+  agenda_.emplace(Instant(Millis(1'000'000)) + from_seconds(when_s), std::move(what));
+}
+
+void World::after(Millis span, std::function<void()> what) { agenda_.emplace(now_ + span, std::move(what)); }
+
+Millis World::delay() { return Millis(std::uniform_int_distribution<int>(1, 12)(random_)); }
+
+void World::run_until(double when_s) {
+  const Instant end = Instant(Millis(1'000'000)) + from_seconds(when_s);
+  while (!agenda_.empty() && agenda_.begin()->first <= end) {
+    const auto next = agenda_.extract(agenda_.begin());
+    now_ = std::max(now_, next.key());
+    if (!state_out_) store_.expire(now_);
+    next.mapped()();
+  }
+  now_ = end;
+  rules_.check(now_);
+}
+
+std::vector<wire::MachineType> World::types() const {
+  std::vector<wire::MachineType> found;
+  for (const Supply& supply : supplies_) found.push_back(supply.type);
+  return found;
+}
+
+// ---- state ----
+
+template <typename Result>
+void World::call_state(std::size_t node, std::function<Result(StateStore&)> what, std::function<void(const Result&)> then) {
+  const std::uint64_t life = nodes_[node].life;
+  const auto reply = [this, node, life, then](const Result& result, Millis wait) {
+    after(wait, [this, node, life, then, result] {
+      if (nodes_[node].alive && nodes_[node].life == life) then(result);
+    });
+  };
+  Result none;
+  none.answer = Answer::none;
+  Result refused;
+  refused.answer = Answer::refused;
+  if (state_out_) return reply(refused, delay());
+  if (nodes_[node].cut_from_state) {
+    // Held up, it is carried out when the cut is over, and nobody hears of it.
+    if (nodes_[node].state_holds) {
+      const auto arrive = std::make_shared<std::function<void()>>();
+      *arrive = [this, node, what, arrive] {
+        if (nodes_[node].cut_from_state || state_out_) return after(kStep, *arrive);
+        (void)what(store_);
+      };
+      after(kStep, *arrive);
+    }
+    return reply(none, constants::kStateCallLimit);
+  }
+  // A request may be lost, or its answer.
+  const int luck = std::uniform_int_distribution<int>(0, 399)(random_);
+  if (luck == 0) return reply(none, constants::kStateCallLimit);
+  after(delay(), [this, what, reply, luck, none] {
+    Result result = what(store_);
+    if (luck == 1) return reply(none, constants::kStateCallLimit);
+    reply(result, delay());
+  });
+}
+
+// ---- controllers ----
+
+void World::duties(std::size_t node, std::uint64_t life) {
+  Node& self = nodes_[node];
+  if (!self.alive || self.life != life) return;
+  lead_duty(node);
+  if (self.engine->leading()) {
+    self.engine->tick(now_);
+    if (self.engine->plan_wanted()) self.engine->plan_pass(now_);
+    follow_duty(node);
+    write_duty(node);
+    cloud_duty(node);
+    halt_duty(node);
+  }
+  after(kStep, [this, node, life] { duties(node, life); });
+}
+
+void World::lead_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.calling_lead) return;
+  self.calling_lead = true;
+  const auto again = [this, node, life = self.life](Millis pause) {
+    after(pause, [this, node, life] {
+      if (nodes_[node].life == life) nodes_[node].calling_lead = false;
+    });
+  };
+  if (self.engine->leading()) {
+    const Instant sent = now_;
+    struct Touched {
+      Answer answer = Answer::none;
+    };
+    call_state<Touched>(
+        node, [this, lease = self.lease](StateStore& store) { return Touched{store.touch(lease, now_)}; },
+        [this, node, sent, again](const Touched& touched) {
+          if (touched.answer == Answer::ok) nodes_[node].engine->confirm_lease(sent);
+          if (touched.answer == Answer::not_found) nodes_[node].engine->resign("its lease has ended");
+          again(touched.answer == Answer::ok ? constants::kLeaderRenew : constants::kStateRetryPause);
+        });
+    return;
+  }
+  struct Seen {
+    Answer answer = Answer::none;
+    state::LeadView view;
+  };
+  call_state<Seen>(
+      node,
+      [](StateStore& store) {
+        return Seen{Answer::ok, state::lead_view(store.get(state::kHolderKey), store.get(state::kTermKey))};
+      },
+      [this, node, again](const Seen& seen) {
+        Node& me = nodes_[node];
+        const NodeName name("node-" + std::to_string(node));
+        if (seen.answer != Answer::ok) return again(constants::kStateRetryPause);
+        const bool held = seen.view.holder_mark != Revision{};
+        me.leader_seen = held ? seen.view.record.leader : NodeName{};
+        if (held && seen.view.record.leader != name) return again(constants::kKeepLooking);
+        take_lead(node, seen.view);
+        again(constants::kKeepLooking);
+      });
+}
+
+void World::take_lead(std::size_t node, const state::LeadView& view) {
+  struct Taken {
+    Answer answer = Answer::none;
+    state::LeaseId lease;
+    Revision mark;
+    control::Takeover takeover;
+    Revision from;
+  };
+  const NodeName name("node-" + std::to_string(node));
+  const std::int64_t until = state::others_until(view, name, wall_ms(), control::fence_span(settings_).count(),
+                                                 static_cast<std::int64_t>(settings_.skew_ms));
+  call_state<Taken>(
+      node,
+      [this, view, name, until](StateStore& store) {
+        Taken taken;
+        taken.lease = store.grant(constants::kLeaderLease, now_);
+        const state::TxnResult result = store.txn(state::take_lead_txn(view, name, taken.lease, until));
+        taken.answer = result.answer;
+        if (result.answer != Answer::ok) {
+          store.revoke(taken.lease);
+          return taken;
+        }
+        taken.takeover = {.term = view.record.term.next(),
+                          .term_mark = result.revision,
+                          .others_until = now_ + Millis(std::max<std::int64_t>(0, until - wall_ms())),
+                          .live = store.list(state::kLivePrefix).entries,
+                          .linger = store.list(state::kLingerPrefix).entries,
+                          .parts = store.list(state::kPartPrefix).entries,
+                          .wall_ms = wall_ms()};
+        taken.from = store.revision();
+        return taken;
+      },
+      [this, node, sent = now_](const Taken& taken) {
+        if (taken.answer != Answer::ok) return;
+        Node& me = nodes_[node];
+        me.lease = taken.lease;
+        me.follow_from = taken.from;
+        me.engine->lead(taken.takeover, sent);
+        me.calling_follow = me.calling_write = me.calling_cloud = false;
+      });
+}
+
+void World::follow_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.calling_follow) return;
+  self.calling_follow = true;
+  const Instant sent = now_;
+  const Term term = self.engine->term();
+  call_state<state::FollowResult>(
+      node, [from = self.follow_from](StateStore& store) { return store.follow(state::kLivePrefix, from); },
+      [this, node, sent, term](const state::FollowResult& news) {
+        Node& me = nodes_[node];
+        me.calling_follow = false;
+        if (news.answer != Answer::ok || !me.engine->leading() || me.engine->term() != term) return;
+        for (const state::Event& event : news.events) {
+          const auto id = state::job_of_key(event.key);
+          if (!id) continue;
+          if (event.data) {
+            me.engine->on_job_record(*id, *event.data, event.mark, wall_ms(), now_);
+          } else {
+            me.engine->on_job_removed(*id, now_);
+          }
+        }
+        me.engine->confirm_reading(sent);
+        me.follow_from = news.revision;
+      });
+}
+
+void World::write_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.calling_write) return;
+  if (const auto id = self.engine->next_reload()) {
+    self.calling_write = true;
+    call_state<state::GetResult>(
+        node, [id](StateStore& store) { return store.get(state::live_key(*id)); },
+        [this, node, id](const state::GetResult& live) {
+          Node& me = nodes_[node];
+          me.calling_write = false;
+          if (live.answer != Answer::ok && live.answer != Answer::not_found) return;
+          me.engine->on_reloaded(*id, live.answer == Answer::ok ? std::optional(live.entry.mark) : std::nullopt, now_);
+        });
+    return;
+  }
+  const auto batch = self.engine->begin_write(now_);
+  if (!batch) return;
+  if (batch->txn.changes.size() > settings_.state_txn_ops) throw std::logic_error("transaction over its limit");
+  for (const state::Change& change : batch->txn.changes) {
+    if (change.data && static_cast<double>(wire::json_length(*change.data)) > settings_.state_value_kb * 1024) {
+      throw std::logic_error("value over its limit: " + change.key);
+    }
+  }
+  self.calling_write = true;
+  call_state<state::TxnResult>(
+      node, [txn = batch->txn](StateStore& store) { return store.txn(txn); },
+      [this, node, batch](const state::TxnResult& result) {
+        nodes_[node].calling_write = false;
+        nodes_[node].engine->end_write(*batch, result, now_);
+      });
+}
+
+// ---- cloud ----
+
+std::vector<wire::ListedMachine> World::listing() const {
+  const Instant then = now_ - from_seconds(settings_.cloud_list_lag_s);
+  std::vector<wire::ListedMachine> listed;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.rented > then || (machine.gone && *machine.gone <= then)) continue;
+    listed.push_back({.id = id,
+                      .address = "127.0.0.1:1",
+                      .type = machine.type,
+                      .zone = machine.zone,
+                      .spot = machine.spot,
+                      .state = machine.failed ? wire::ListedState::failed
+                               : machine.worker ? wire::ListedState::running
+                                                : wire::ListedState::starting,
+                      .age_s = control::to_seconds(then - machine.rented)});
+  }
+  return listed;
+}
+
+MachineId World::add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot) {
+  std::string number = std::to_string(next_machine_++);
+  const MachineId id("m-" + std::string(6 - number.size(), '0') + number);
+  machines_[id] = Rented{.type = type, .zone = zone, .spot = spot, .rented = now_};
+  after(boot, [this, id] {
+    Rented& machine = machines_.at(id);
+    if (machine.gone) return;
+    const auto supply = std::ranges::find(supplies_, machine.type, [](const Supply& s) { return s.type.name; });
+    machine.worker = std::make_unique<Worker>(id, supply->type, machine.zone, machine.spot,
+                                              from_seconds(settings_.lease_s), *this, now_);
+    machine.worker->gang_ready = [this](const JobId& job_id, AttemptNo attempt) {
+      const wire::JobSpec* spec = job(job_id);
+      std::uint32_t there = 0;
+      for (const auto& [unused, other] : machines_) {
+        if (!other.worker || !other.worker->alive || other.cut) continue;
+        for (const auto& [key, held] : other.worker->attempts()) {
+          const bool in = held.state == wire::TaskState::waiting || held.state == wire::TaskState::running;
+          if (key.first.job == job_id && key.second == attempt && in) ++there;
+        }
+      }
+      std::uint32_t over = 0;
+      for (std::uint32_t index = 0; index < spec->tasks; ++index) over += done_.contains({job_id, index}) ? 1 : 0;
+      return there + over >= spec->tasks;
+    };
+    machine.node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
+    machine.next_report = now_;
+    worker_step(id);
+  });
+  return id;
+}
+
+void World::start_up(const std::string& type, const std::string& zone, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) add_machine(type, zone, false, Millis(0));
+}
+
+void World::cloud_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.calling_cloud || cloud_out_) return;
+  const auto answer_after = [this, node, life = self.life](std::function<void(control::Engine&)> then) {
+    nodes_[node].calling_cloud = true;
+    after(Millis(200) + delay(), [this, node, life, then = std::move(then)] {
+      Node& me = nodes_[node];
+      if (!me.alive || me.life != life) return;
+      me.calling_cloud = false;
+      then(*me.engine);
+    });
+  };
+  if (const std::vector<MachineId> names = self.engine->next_returns(now_); !names.empty()) {
+    for (const MachineId& id : names) {
+      const auto machine = machines_.find(id);
+      if (machine == machines_.end() || machine->second.gone) continue;
+      machine->second.gone = now_;
+      if (machine->second.worker) machine->second.worker->kill(now_);
+    }
+    return answer_after([this, names](control::Engine& engine) { engine.on_returned(names, now_); });
+  }
+  if (const auto request = self.engine->next_rental(now_)) {
+    if (!rentals_.contains(request->request)) {
+      const auto supply = std::ranges::find(supplies_, request->type, [](const Supply& s) { return s.type.name; });
+      const auto held = static_cast<std::size_t>(std::ranges::count_if(machines_, [&](const auto& entry) {
+        const Rented& machine = entry.second;
+        return !machine.gone && machine.type == request->type && machine.zone == request->zone && machine.spot == request->spot;
+      }));
+      const std::size_t most = request->spot ? supply->spot_each_zone : supply->each_zone;
+      const std::size_t left = most > held ? most - held : 0;
+      if (left == 0) {
+        return answer_after([this, request](control::Engine& engine) { engine.on_rent_refused(*request, now_); });
+      }
+      std::vector<MachineId> rented;
+      for (std::size_t i = 0; i < std::min<std::size_t>(left, request->count); ++i) {
+        const double boot_s = supply->type.boot_s * std::uniform_real_distribution<double>(0.6, 1.5)(random_);
+        rented.push_back(add_machine(request->type, request->zone, request->spot, from_seconds(boot_s)));
+      }
+      rentals_[request->request] = rented;
+    }
+    return answer_after([this, request, rented = rentals_.at(request->request)](control::Engine& engine) {
+      engine.on_rented(*request, rented, now_);
+    });
+  }
+  if (now_ >= self.next_list) {
+    self.next_list = now_ + constants::kListEvery;
+    return answer_after([this, listed = listing()](control::Engine& engine) { engine.on_machine_list(listed, now_); });
+  }
+}
+
+void World::halt_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  for (const control::DirectHalt& halt : self.engine->due_halts(now_)) {
+    const auto machine = machines_.find(halt.machine);
+    if (machine == machines_.end() || !machine->second.worker || machine->second.gone) continue;
+    const Term term = self.engine->term();
+    const auto arrive = std::make_shared<std::function<void()>>();
+    *arrive = [this, halt, term, node, arrive] {
+      Rented& target = machines_.at(halt.machine);
+      if (target.gone || !target.worker->alive) return;
+      if (!reaches(node, target) || target.worker->hung) {
+        if (target.holds || target.worker->hung) after(kStep, *arrive);
+        return;
+      }
+      (void)target.worker->direct(term, halt.session, halt.commands, now_);
+      target.changed = true;
+    };
+    after(delay(), *arrive);
+  }
+}
+
+// ---- workers ----
+
+bool World::reaches(std::size_t node, const Rented& machine) const {
+  return !machine.cut && !nodes_[node].cut_from_workers && nodes_[node].alive;
+}
+
+void World::worker_step(const MachineId& id) {
+  Rented& machine = machines_.at(id);
+  if (machine.gone || !machine.worker->alive) return;
+  if (machine.worker->advance(now_)) {
+    machine.changed = true;
+    machine.next_report = std::min(machine.next_report, now_ + Millis(100));
+  }
+  if (!machine.reporting && now_ >= machine.next_report && !machine.worker->hung) {
+    machine.reporting = true;
+    machine.changed = false;
+    const wire::Report report = machine.worker->report();
+    const Instant sent = now_;
+    const std::size_t node = machine.node;
+    after(delay(), [this, id, report, sent, node] { deliver_report(id, report, sent, node); });
+    // Without an answer within 4 s it turns to the next node.
+    const std::uint64_t sequence = report.sequence;
+    after(constants::kReportAnswerLimit, [this, id, sequence, node] {
+      Rented& waiting = machines_.at(id);
+      if (waiting.gone || !waiting.reporting || waiting.worker->session() == SessionNo{}) return;
+      if (waiting.node == node && sequence > 0) {
+        waiting.reporting = false;
+        waiting.node = (node + 1) % nodes_.size();
+        waiting.next_report = now_ + Millis(1000);
+      }
+    });
+  }
+  after(kStep, [this, id] { worker_step(id); });
+}
+
+void World::deliver_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node) {
+  Rented& machine = machines_.at(id);
+  if (machine.gone) return;
+  if (!nodes_[node].alive) {   // refused
+    machine.reporting = false;
+    machine.node = (node + 1) % nodes_.size();
+    machine.next_report = now_ + Millis(1000);
+    return;
+  }
+  if (!reaches(node, machine)) {
+    if (machine.holds && nodes_[node].alive) {
+      after(kStep, [this, id, report, sent, node] { deliver_report(id, report, sent, node); });
+    }
+    return;
+  }
+  const bool late = now_ - sent > constants::kReportAnswerLimit;
+  const auto commands = nodes_[node].engine->on_report(report, now_);
+  if (late) return;   // the worker has given it up
+  const Term term = nodes_[node].engine->term();
+  after(delay(), [this, id, commands, term, session = report.session, sent, node] {
+    Rented& target = machines_.at(id);
+    if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
+    if (target.cut || target.worker->hung) return;   // lost, or too late when it goes on
+    target.reporting = false;
+    const double jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
+    target.next_report = now_ + from_seconds(settings_.report_s * jitter);
+    if (!commands) {
+      const NodeName& leader = nodes_[node].leader_seen;
+      target.node = (node + 1) % nodes_.size();
+      target.next_report = now_ + Millis(1000);
+      for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        if (other == node || NodeName("node-" + std::to_string(other)) != leader) continue;
+        target.node = other;
+        target.next_report = now_ + Millis(200);
+      }
+      return;
+    }
+    target.worker->answer(term, *commands, session, sent, now_);
+    if (!commands->empty()) target.next_report = now_ + Millis(500);
+  });
+}
+
+const wire::JobSpec* World::job(const JobId& id) {
+  const auto found = submissions_.find(id);
+  return found == submissions_.end() ? nullptr : &found->second.spec;
+}
+
+Millis World::run_left(const TaskKey& task) {
+  return std::max(Millis(0), from_seconds(submissions_.at(task.job).run_s) - progress_[task]);
+}
+
+void World::on_started(const TaskKey& task, AttemptNo, const MachineId& id) {
+  const Rented& machine = machines_.at(id);
+  first_start_.try_emplace(task.job, now_);
+  ++task_starts_[task];
+  where_[task].insert(id);
+  rules_.on_started(task, {.machine = id, .type = machine.type, .zone = machine.zone, .spot = machine.spot}, now_);
+}
+
+void World::on_gone(const TaskKey& task, AttemptNo, const MachineId& id, bool done) {
+  if (done) done_.insert(task);
+  where_[task].erase(id);
+  rules_.on_gone(task, id, done);
+}
+
+// ---- users ----
+
+void World::submit(const Submission& submission) {
+  const JobId id = submission.spec.id;
+  submissions_[id] = submission;
+  submitted_at_.try_emplace(id, now_);
+  rules_.on_submitted(submission.spec);
+  const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
+  const auto retry = [this, submission] {
+    after(Millis(1000), [this, submission] { submit(submission); });
+  };
+  if (!nodes_[node].alive) return retry();
+  const std::uint64_t life = nodes_[node].life;
+  call_state<state::TxnResult>(
+      node,
+      [record = state::new_job(submission.spec, wall_ms())](StateStore& store) { return store.txn(state::accept_txn(record)); },
+      [this, id, retry](const state::TxnResult& result) {
+        if (result.answer != Answer::ok && result.answer != Answer::conflict) return retry();
+        if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
+        rules_.on_accepted(id);
+      });
+  (void)life;
+}
+
+void World::cancel(const JobId& id) {
+  const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
+  const auto retry = [this, id] {
+    after(Millis(1000), [this, id] { cancel(id); });
+  };
+  if (!nodes_[node].alive) return retry();
+  struct Seen {
+    Answer answer = Answer::none;
+    state::GetResult live;
+    state::GetResult over;
+  };
+  call_state<Seen>(
+      node,
+      [id](StateStore& store) { return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))}; },
+      [this, id, node, retry](const Seen& seen) {
+        if (seen.answer != Answer::ok) return retry();
+        if (seen.over.answer == Answer::ok) {
+          return rules_.on_told(id, state::over_from(id, seen.over.entry.data).state, now_);
+        }
+        if (seen.live.answer != Answer::ok) return retry();
+        call_state<state::TxnResult>(
+            node,
+            [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](StateStore& store) {
+              return store.txn(txn);
+            },
+            [this, id, retry](const state::TxnResult& result) {
+              if (result.answer != Answer::ok) return retry();
+              rules_.on_told(id, wire::JobState::withdrawn, now_);
+            });
+      });
+}
+
+std::optional<wire::JobStatus> World::ask(const JobId& id) {
+  if (state_out_) return std::nullopt;
+  const state::GetResult live = store_.get(state::live_key(id));
+  if (live.answer == Answer::ok) return state::status_of(state::job_from(live.entry.data));
+  const state::GetResult over = store_.get(state::over_key(id));
+  if (over.answer == Answer::ok) return state::over_from(id, over.entry.data);
+  return std::nullopt;
+}
+
+void World::poll_users() {
+  if (!state_out_) {
+    for (const JobId& id : accepted_) {
+      const auto status = ask(id);
+      if (status) {
+        rules_.on_told(id, status->state, now_);
+      } else {
+        rules_.on_told_unknown(id);
+      }
+    }
+  }
+  rules_.check(now_);
+  after(Millis(2000), [this] { poll_users(); });
+}
+
+// ---- troubles ----
+
+void World::crash(std::size_t node, double for_s) {
+  Node& self = nodes_[node];
+  if (!self.alive) return;
+  self.alive = false;
+  ++self.life;
+  config::Settings own = settings_;
+  own.name = NodeName("node-" + std::to_string(node));
+  after(from_seconds(for_s), [this, node, own] {
+    Node fresh;
+    fresh.life = nodes_[node].life + 1;
+    fresh.cut_from_state = nodes_[node].cut_from_state;
+    fresh.state_holds = nodes_[node].state_holds;
+    fresh.cut_from_workers = nodes_[node].cut_from_workers;
+    fresh.engine = std::make_unique<control::Engine>(own);
+    fresh.engine->on_types(types());
+    nodes_[node] = std::move(fresh);
+    duties(node, nodes_[node].life);
+  });
+}
+
+void World::state_outage(double for_s) {
+  state_out_ = true;
+  after(from_seconds(for_s), [this] {
+    state_out_ = false;
+    store_.renew_all(now_);
+  });
+}
+
+void World::cloud_outage(double for_s) {
+  cloud_out_ = true;
+  after(from_seconds(for_s), [this] { cloud_out_ = false; });
+}
+
+void World::cut_node_from_state(std::size_t node, double for_s, bool hold) {
+  nodes_[node].cut_from_state = true;
+  nodes_[node].state_holds = hold;
+  after(from_seconds(for_s), [this, node] { nodes_[node].cut_from_state = false; });
+}
+
+void World::cut_node_from_workers(std::size_t node, double for_s) {
+  nodes_[node].cut_from_workers = true;
+  after(from_seconds(for_s), [this, node] { nodes_[node].cut_from_workers = false; });
+}
+
+void World::cut_worker(const MachineId& id, double for_s, bool hold) {
+  machines_.at(id).cut = true;
+  machines_.at(id).holds = hold;
+  after(from_seconds(for_s), [this, id] { machines_.at(id).cut = false; });
+}
+
+void World::hang(const MachineId& id, double for_s) {
+  if (!machines_.at(id).worker) return;
+  machines_.at(id).worker->hung = true;
+  after(from_seconds(for_s), [this, id] { machines_.at(id).worker->hung = false; });
+}
+
+void World::die(const MachineId& id) {
+  Rented& machine = machines_.at(id);
+  if (machine.gone || !machine.worker) return;
+  machine.worker->kill(now_);
+  machine.failed = true;
+}
+
+void World::notice(const MachineId& id, double notice_s) {
+  Rented& machine = machines_.at(id);
+  if (machine.gone || !machine.worker) return;
+  machine.worker->taken_at = now_ + from_seconds(notice_s);
+  machine.next_report = now_;
+  after(from_seconds(notice_s), [this, id] {
+    Rented& taken = machines_.at(id);
+    if (taken.gone) return;
+    taken.gone = now_;
+    taken.worker->kill(now_);
+  });
+}
+
+void World::make_faulty(const MachineId& id) {
+  if (machines_.at(id).worker) machines_.at(id).worker->faulty = true;
+}
+
+std::optional<std::size_t> World::leader() const {
+  std::optional<std::size_t> best;
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    if (!nodes_[node].alive || !nodes_[node].engine->leading()) continue;
+    if (!best || nodes_[node].engine->term() > nodes_[*best].engine->term()) best = node;
+  }
+  return best;
+}
+
+std::size_t World::machines_up() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      machines_, [](const auto& entry) { return !entry.second.gone && entry.second.worker && entry.second.worker->alive; }));
+}
+
+std::vector<MachineId> World::machine_names() const {
+  std::vector<MachineId> names;
+  for (const auto& [id, machine] : machines_) {
+    if (!machine.gone && machine.worker && machine.worker->alive) names.push_back(id);
+  }
+  return names;
+}
+
+std::optional<double> World::first_start_s(const JobId& job) const {
+  const auto found = first_start_.find(job);
+  return found == first_start_.end() ? std::nullopt : std::optional(control_seconds(found->second));
+}
+
+std::vector<MachineId> World::where(const TaskKey& task) const {
+  const auto found = where_.find(task);
+  if (found == where_.end()) return {};
+  return {found->second.begin(), found->second.end()};
+}
+
+std::size_t World::starts_of(const TaskKey& task) const {
+  const auto found = task_starts_.find(task);
+  return found == task_starts_.end() ? 0 : found->second;
+}
+
+}  // namespace foxshunt::standins
--- /dev/null
+++ b/tests/standins/world.h
@@ -0,0 +1,154 @@
+// A whole deployment in virtual time: the real Engine in several controllers, with stand-ins for the state
+// service, the cloud, workers and users, and for the network between them. The same seed gives the same day.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/engine.h"
+#include "standins/rules.h"
+#include "standins/state_store.h"
+#include "standins/worker.h"
+
+namespace foxshunt::standins {
+
+struct Supply {
+  wire::MachineType type;
+  std::size_t each_zone = 0;        // ordinary machines that a zone has
+  std::size_t spot_each_zone = 0;
+};
+
+struct Submission {
+  wire::JobSpec spec;
+  double run_s = 0;                 // what its tasks really take
+};
+
+class World final : public Surroundings {
+ public:
+  World(config::Settings settings, std::vector<Supply> supplies, std::size_t nodes, unsigned seed);
+
+  // What may be said at any time before or during a day.
+  void at(double when_s, std::function<void()> what);
+  void start_up(const std::string& type, const std::string& zone, std::size_t count);
+  void submit(const Submission& submission);
+  void cancel(const JobId& job);
+  void crash(std::size_t node, double for_s);
+  void state_outage(double for_s);
+  void cloud_outage(double for_s);
+  // `hold`: what is sent meanwhile arrives afterwards, rather than never.
+  void cut_node_from_state(std::size_t node, double for_s, bool hold);
+  void cut_node_from_workers(std::size_t node, double for_s);
+  void cut_worker(const MachineId& machine, double for_s, bool hold);
+  void hang(const MachineId& machine, double for_s);
+  void die(const MachineId& machine);
+  void notice(const MachineId& machine, double notice_s);
+  void make_faulty(const MachineId& machine);
+
+  void run_until(double when_s);
+  [[nodiscard]] double now_s() const { return control_seconds(now_); }
+
+  // What a user would be told now by some node that is in reach; nothing when there is none.
+  [[nodiscard]] std::optional<wire::JobStatus> ask(const JobId& job);
+  [[nodiscard]] Rules& rules() { return rules_; }
+  [[nodiscard]] std::optional<std::size_t> leader() const;
+  [[nodiscard]] control::Engine& engine(std::size_t node) { return *nodes_.at(node).engine; }
+  [[nodiscard]] std::size_t machines_up() const;
+  [[nodiscard]] std::vector<MachineId> machine_names() const;
+  [[nodiscard]] std::optional<double> first_start_s(const JobId& job) const;
+  [[nodiscard]] std::vector<MachineId> where(const TaskKey& task) const;
+  [[nodiscard]] std::size_t starts_of(const TaskKey& task) const;
+  [[nodiscard]] const std::vector<JobId>& accepted() const { return accepted_; }
+
+  // Surroundings
+  const wire::JobSpec* job(const JobId& id) override;
+  Millis run_left(const TaskKey& task) override;
+  bool is_done(const TaskKey& task) override { return done_.contains(task); }
+  void keep_progress(const TaskKey& task, Millis progress) override { progress_[task] += progress; }
+  void on_started(const TaskKey& task, AttemptNo attempt, const MachineId& machine) override;
+  void on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& machine, bool done) override;
+
+ private:
+  struct Node {
+    std::unique_ptr<control::Engine> engine;
+    std::uint64_t life = 0;           // grows with each restart; what an earlier life asked is not answered
+    bool alive = true;
+    bool cut_from_state = false;
+    bool state_holds = false;
+    bool cut_from_workers = false;
+    state::LeaseId lease;
+    Revision follow_from;
+    NodeName leader_seen;
+    bool calling_lead = false;
+    bool calling_follow = false;
+    bool calling_write = false;
+    bool calling_cloud = false;
+    Instant next_list;
+  };
+  struct Rented {
+    std::unique_ptr<Worker> worker;   // once it is up
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    Instant rented;
+    std::optional<Instant> gone;      // returned or taken
+    bool failed = false;
+    bool cut = false;
+    bool holds = false;
+    std::size_t node = 0;             // that it reports to
+    bool reporting = false;
+    Instant next_report;
+    bool changed = false;
+  };
+
+  static double control_seconds(Instant when);
+  void after(Millis span, std::function<void()> what);
+  [[nodiscard]] Millis delay();
+  // A call to the state service: its answer, late or never, reaches the node if that life of it still runs.
+  template <typename Result>
+  void call_state(std::size_t node, std::function<Result(StateStore&)> what, std::function<void(const Result&)> then);
+  void duties(std::size_t node, std::uint64_t life);
+  void lead_duty(std::size_t node);
+  void take_lead(std::size_t node, const state::LeadView& view);
+  void follow_duty(std::size_t node);
+  void write_duty(std::size_t node);
+  void cloud_duty(std::size_t node);
+  void halt_duty(std::size_t node);
+  void worker_step(const MachineId& id);
+  void deliver_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node);
+  [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
+  MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
+  [[nodiscard]] std::vector<wire::MachineType> types() const;
+  [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
+  void poll_users();
+  [[nodiscard]] std::int64_t wall_ms() const;
+
+  config::Settings settings_;
+  std::vector<Supply> supplies_;
+  std::mt19937 random_;
+  Instant now_;
+  std::multimap<Instant, std::function<void()>> agenda_;
+  StateStore store_;
+  bool state_out_ = false;
+  bool cloud_out_ = false;
+  std::vector<Node> nodes_;
+  std::map<MachineId, Rented> machines_;
+  std::map<std::string, std::vector<MachineId>> rentals_;
+  std::map<JobId, Submission> submissions_;
+  std::map<TaskKey, Millis> progress_;
+  std::set<TaskKey> done_;
+  std::map<JobId, Instant> submitted_at_;
+  std::map<JobId, Instant> first_start_;
+  std::map<TaskKey, std::size_t> task_starts_;
+  std::map<TaskKey, std::set<MachineId>> where_;
+  std::vector<JobId> accepted_;
+  Rules rules_;
+  std::size_t next_machine_ = 0;
+};
+
+}  // namespace foxshunt::standins
