--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -4,7 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <cmath>
+#include <cstdlib>
 
 #include "standins/world.h"
 
@@ -46,7 +46,8 @@
 class Days : public testing::TestWithParam<unsigned> {};
 
 TEST_P(Days, KeepTheRules) {
-  spdlog::set_level(spdlog::level::off);
+  // A day is watched with LOG_LEVEL=info.
+  spdlog::set_level(std::getenv("LOG_LEVEL") == nullptr ? spdlog::level::off : spdlog::level::from_str(std::getenv("LOG_LEVEL")));
   const unsigned seed = GetParam();
   std::mt19937 random(seed * 7919U);
   const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -121,7 +121,7 @@
 
 bool Worker::advance(Instant now) {
   now_ = now;
-  if (!alive || hung) return false;
+  if (!alive) return false;
   bool changed = false;
   if (now - lease_from_ > lease_) {
     for (auto& [key, attempt] : attempts_) {
@@ -130,8 +130,10 @@
     attempts_.clear();
     session_ = session_.next();
     lease_from_ = now;
-    return true;
+    return !hung;
   }
+  // A machine that hangs executes nothing, but its tasks can't outlive its lease: it may go on only within it.
+  if (hung) return false;
   for (auto& [key, attempt] : attempts_) {
     if (attempt.state == TaskState::fetching && now >= attempt.ready) {
       images_.insert(attempt.spec.image);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -496,24 +496,28 @@
     after(Millis(1000), [this, submission] { submit(submission); });
   };
   if (!nodes_[node].alive) return retry();
-  const std::uint64_t life = nodes_[node].life;
+  // A node that ends answers nobody; the user tries again after 5 s.
+  after(Millis(5000), [this, id, retry] {
+    if (std::ranges::find(accepted_, id) == accepted_.end()) retry();
+  });
   call_state<state::TxnResult>(
       node,
       [record = state::new_job(submission.spec, wall_ms())](StateStore& store) { return store.txn(state::accept_txn(record)); },
-      [this, id, retry](const state::TxnResult& result) {
-        if (result.answer != Answer::ok && result.answer != Answer::conflict) return retry();
+      [this, id](const state::TxnResult& result) {
+        if (result.answer != Answer::ok && result.answer != Answer::conflict) return;
         if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
         rules_.on_accepted(id);
       });
-  (void)life;
 }
 
 void World::cancel(const JobId& id) {
+  if (cancelled_.contains(id)) return;
   const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
   const auto retry = [this, id] {
     after(Millis(1000), [this, id] { cancel(id); });
   };
   if (!nodes_[node].alive) return retry();
+  after(Millis(5000), [this, id] { cancel(id); });
   struct Seen {
     Answer answer = Answer::none;
     state::GetResult live;
@@ -522,19 +526,21 @@
   call_state<Seen>(
       node,
       [id](StateStore& store) { return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))}; },
-      [this, id, node, retry](const Seen& seen) {
-        if (seen.answer != Answer::ok) return retry();
+      [this, id, node](const Seen& seen) {
+        if (seen.answer != Answer::ok) return;
         if (seen.over.answer == Answer::ok) {
+          cancelled_.insert(id);
           return rules_.on_told(id, state::over_from(id, seen.over.entry.data).state, now_);
         }
-        if (seen.live.answer != Answer::ok) return retry();
+        if (seen.live.answer != Answer::ok) return;
         call_state<state::TxnResult>(
             node,
             [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](StateStore& store) {
               return store.txn(txn);
             },
-            [this, id, retry](const state::TxnResult& result) {
-              if (result.answer != Answer::ok) return retry();
+            [this, id](const state::TxnResult& result) {
+              if (result.answer != Answer::ok) return;
+              cancelled_.insert(id);
               rules_.on_told(id, wire::JobState::withdrawn, now_);
             });
       });
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -147,6 +147,7 @@
   std::map<TaskKey, std::size_t> task_starts_;
   std::map<TaskKey, std::set<MachineId>> where_;
   std::vector<JobId> accepted_;
+  std::set<JobId> cancelled_;
   Rules rules_;
   std::size_t next_machine_ = 0;
 };
