--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -54,6 +54,7 @@
 inline constexpr milliseconds kFenceMargin = 2s;                // delay of answers under way, timers that fire late
 
 // ---- control ----
+inline constexpr milliseconds kShowEvery = 2s;                  // counts shown of a job in parts lag by this at most
 inline constexpr milliseconds kTick = 250ms;                    // housekeeping of the engine
 inline constexpr milliseconds kExpiryMargin = 500ms;            // a worker notices its expiry late by its timers
 inline constexpr milliseconds kAllocationLimit = 10s;           // DESIGN: a start not seen by then is replanned
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -60,6 +60,7 @@
   std::uint32_t runs_count = 0;
   bool withdrawn = false;
   bool had_runs = false;                       // there may be a linger/ record
+  Instant shown;                               // when the counts of a job in parts were last written
   bool reload = false;                         // a write met a record that is not the one in memory
   Instant not_before;                          // after errors
   int errors = 0;                              // in a row, on different machines
@@ -105,6 +106,7 @@
   Kind kind = Kind::update;
   JobId job;
   std::uint32_t part = 0;
+  bool header = false;                                     // the job's own record is written too
   std::vector<std::pair<std::uint32_t, AttemptNo>> runs;   // that the write makes durable
 };
 
@@ -206,7 +208,7 @@
   void touch(Job& job, std::uint32_t part);
   void withdraw(Job& job, Instant now);
   void erase_job(const JobId& job);
-  void add_update(Job& job, std::uint32_t part, WriteBatch& batch);
+  void add_update(Job& job, std::uint32_t part, WriteBatch& batch, Instant now);
   // runs
   Run* find_run(const TaskKey& task);
   void prove_gone(Job& job, std::uint32_t index, const char* why, Instant now);
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -28,7 +28,7 @@
 }
 
 std::vector<Job*> Engine::planning_order(Instant now) {
-  // What fits a team's guarantee, in order of submission, goes before what is borrowed; then by priority.
+  // What fits a team's guarantee, its urgent work first, goes before what is borrowed; then by priority.
   struct Entry {
     Job* job;
     bool borrowed;
@@ -39,7 +39,9 @@
     if (!job.withdrawn) by_team[job.spec.team].push_back(&job);
   }
   for (auto& [team_name, jobs] : by_team) {
-    std::ranges::sort(jobs, {}, [](const Job* job) { return std::tie(job->submitted, job->spec.id); });
+    std::ranges::sort(jobs, {}, [](const Job* job) {
+      return std::tuple(-static_cast<int>(job->spec.priority), job->submitted, job->spec.id);
+    });
     const config::Team* team = settings_.team(team_name);
     double cpus = 0;
     double gpus = 0;
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -224,7 +224,7 @@
   return std::nullopt;
 }
 
-void Engine::add_update(Job& job, std::uint32_t number, WriteBatch& batch) {
+void Engine::add_update(Job& job, std::uint32_t number, WriteBatch& batch, Instant now) {
   Part& part = job.parts[number];
   state::PartRecord record{.next = part.next, .done = part.done, .runs = {}};
   WriteItem item{.kind = WriteItem::Kind::update, .job = job.spec.id, .part = number, .runs = {}};
@@ -241,6 +241,17 @@
     const std::string key = state::part_key(job.spec.id, number);
     batch.txn.conditions.push_back({.key = key, .mark = part.mark});
     batch.txn.changes.push_back({.key = key, .data = state::to_value(record), .lease = {}});
+    // What users are shown may lag a little.
+    if (now - job.shown >= constants::kShowEvery && batch.txn.changes.size() < settings_.state_txn_ops) {
+      job.shown = now;
+      item.header = true;
+      const state::JobRecord header{.spec = job.spec,
+                                    .submitted_wall_ms = job.submitted_wall_ms,
+                                    .whole = {},
+                                    .done_shown = job.done_count,
+                                    .running_shown = job.runs_count};
+      batch.txn.changes.push_back({.key = live, .data = state::to_value(header), .lease = {}});
+    }
   }
   batch.items.push_back(std::move(item));
 }
@@ -304,7 +315,7 @@
         }
         batch.items.push_back({.kind = WriteItem::Kind::finish, .job = id, .part = 0, .runs = {}});
       } else {
-        add_update(job, number, batch);
+        add_update(job, number, batch, now);
       }
     }
     for (std::size_t change = before; change < batch.txn.changes.size(); ++change) {
@@ -358,6 +369,7 @@
           job.mark = result.revision;
         } else {
           part.mark = result.revision;
+          if (item.header) job.mark = result.revision;
         }
         for (const auto& [index, attempt] : item.runs) {
           const auto run = part.runs.find(index);
--- /dev/null
+++ b/tests/scenarios/scenario_test.cpp
@@ -0,0 +1,340 @@
+// Runs the scenarios of this folder: small text files, one command a line, told in README.md beside them.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "standins/world.h"
+
+namespace foxshunt::standins {
+namespace {
+
+using Words = std::vector<std::string>;
+
+Words split(const std::string& line) {
+  std::istringstream text(line.substr(0, line.find('#')));
+  Words words;
+  for (std::string word; text >> word;) words.push_back(word);
+  return words;
+}
+
+// Reads `key value` pairs and lone flags from the rest of a line.
+class Options {
+ public:
+  Options(const Words& words, std::size_t from, const std::set<std::string>& flags) {
+    for (std::size_t at = from; at < words.size(); ++at) {
+      if (flags.contains(words[at])) {
+        values_[words[at]] = "yes";
+      } else if (at + 1 < words.size()) {
+        values_[words[at]] = words[at + 1];
+        ++at;
+      } else {
+        throw std::runtime_error("no value for " + words[at]);
+      }
+    }
+  }
+  [[nodiscard]] std::string text(const std::string& key, const std::string& otherwise = "") {
+    used_.insert(key);
+    const auto found = values_.find(key);
+    return found == values_.end() ? otherwise : found->second;
+  }
+  [[nodiscard]] double number(const std::string& key, double otherwise = 0) {
+    const std::string found = text(key);
+    return found.empty() ? otherwise : std::stod(found);
+  }
+  [[nodiscard]] bool flag(const std::string& key) { return !text(key).empty(); }
+  void finish() const {
+    for (const auto& [key, unused] : values_) {
+      if (!used_.contains(key)) throw std::runtime_error("unknown word " + key);
+    }
+  }
+
+ private:
+  std::map<std::string, std::string> values_;
+  std::set<std::string> used_;
+};
+
+class Scenario {
+ public:
+  explicit Scenario(const std::filesystem::path& path) {
+    std::ifstream file(path);
+    std::string line;
+    int number = 0;
+    while (std::getline(file, line)) {
+      ++number;
+      const Words words = split(line);
+      if (words.empty()) continue;
+      try {
+        read(words, number);
+      } catch (const std::exception& error) {
+        throw std::runtime_error(path.filename().string() + ":" + std::to_string(number) + ": " + error.what());
+      }
+    }
+    if (end_s_ <= 0) throw std::runtime_error(path.filename().string() + ": no end");
+  }
+
+  void run() {
+    world().run_until(end_s_);
+    for (const std::string& broken : world().rules().broken()) ADD_FAILURE() << broken;
+    EXPECT_GT(expectations_, 0) << "a scenario expects something";
+  }
+
+ private:
+  World& world() {
+    if (!world_) {
+      settings_.nodes = nodes_;
+      world_ = std::make_unique<World>(settings_, supplies_, nodes_, seed_);
+    }
+    return *world_;
+  }
+
+  static MachineId machine(const std::string& name) { return MachineId(name); }
+  static std::size_t node(const std::string& name) { return std::stoul(name); }
+
+  // The node of a trouble: its number, or `leader` at that moment.
+  std::size_t which(const std::string& name) { return name == "leader" ? world().leader().value_or(0) : node(name); }
+
+  void read(const Words& words, int line) {
+    const std::string& verb = words[0];
+    if (verb == "seed") seed_ = static_cast<unsigned>(std::stoul(words.at(1)));
+    else if (verb == "nodes") nodes_ = node(words.at(1));
+    else if (verb == "settings") read_settings(words);
+    else if (verb == "type") read_type(words);
+    else if (verb == "team") read_team(words);
+    else if (verb == "objective") read_objective(words);
+    else if (verb == "up") world().start_up(words.at(1), words.at(2), std::stoul(words.at(3)));
+    else if (verb == "end") end_s_ = std::stod(words.at(1));
+    else if (verb == "at") read_event(std::stod(words.at(1)), Words(words.begin() + 2, words.end()), line);
+    else throw std::runtime_error("unknown command " + verb);
+  }
+
+  void read_settings(const Words& words) {
+    Options options(words, 1, {});
+    settings_.report_s = options.number("report", 1);
+    settings_.lease_s = options.number("lease", 10);
+    settings_.cancel_s = options.number("cancel", 40);
+    settings_.gang_wait_s = options.number("gang_wait", 45);
+    settings_.gang_peer_s = options.number("gang_peer", 4);
+    settings_.state_txn_ops = static_cast<std::size_t>(options.number("txn_ops", 12));
+    settings_.cloud_list_lag_s = options.number("list_lag", 5);
+    settings_.operators.idle_return_s = options.number("idle_return", 0);
+    settings_.operators.may_rent = options.text("may_rent", "yes") == "yes";
+    options.finish();
+    settings_.state_rps = 250;
+    settings_.state_write_rps = 50;
+    settings_.state_value_kb = 8;
+    settings_.cloud_rps = 2;
+    settings_.skew_ms = 50;
+  }
+
+  void read_type(const Words& words) {
+    Options options(words, 2, {});
+    Supply supply;
+    supply.type.name = words.at(1);
+    supply.type.cpus = options.number("cpus");
+    supply.type.gpus = options.number("gpus");
+    supply.type.ram_gb = options.number("ram", 64);
+    supply.type.cache_gb = 100;
+    supply.type.fetch_gb_per_s = options.number("fetch", 0.5);
+    supply.type.price = options.number("price", 1);
+    supply.type.spot_price = options.number("spot_price", supply.type.price / 3);
+    supply.type.boot_s = options.number("boot", 15);
+    std::istringstream zones(options.text("zones", "a"));
+    for (std::string zone; std::getline(zones, zone, ',');) supply.type.zones.push_back(zone);
+    supply.each_zone = static_cast<std::size_t>(options.number("each_zone"));
+    supply.spot_each_zone = static_cast<std::size_t>(options.number("spot_each_zone"));
+    options.finish();
+    settings_.zones = supply.type.zones;
+    supplies_.push_back(supply);
+  }
+
+  void read_team(const Words& words) {
+    Options options(words, 2, {});
+    settings_.teams.push_back({.name = words.at(1),
+                               .cpus = options.number("cpus"),
+                               .cpus_max = options.number("cpus_max"),
+                               .gpus = options.number("gpus"),
+                               .gpus_max = options.number("gpus_max")});
+    options.finish();
+  }
+
+  void read_objective(const Words& words) {
+    Options options(words, 2, {});
+    settings_.objectives.push_back({.kind = words.at(1),
+                                    .job_class = options.text("class"),
+                                    .within_s = options.number("within"),
+                                    .share = options.number("share", 0.9)});
+    options.finish();
+  }
+
+  void read_event(double when_s, const Words& words, int line) {
+    const std::string& verb = words.at(0);
+    const auto does = [&](std::function<void()> what) { world().at(when_s, std::move(what)); };
+    if (verb == "submit") {
+      does([this, submission = read_job(words)] { world().submit(submission); });
+    } else if (verb == "cancel") {
+      does([this, id = JobId(words.at(1))] { world().cancel(id); });
+    } else if (verb == "crash") {
+      does([this, words] {
+        for (std::size_t each = 0; each < nodes_; ++each) {
+          if (words.at(1) == "all" || which(words.at(1)) == each) world().crash(each, std::stod(words.at(2)));
+        }
+      });
+    } else if (verb == "outage") {
+      does([this, words] {
+        if (words.at(1) == "state") world().state_outage(std::stod(words.at(2)));
+        else world().cloud_outage(std::stod(words.at(2)));
+      });
+    } else if (verb == "cut_state") {   // of a node
+      does([this, words] { world().cut_node_from_state(which(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold"); });
+    } else if (verb == "cut_workers") {
+      does([this, words] { world().cut_node_from_workers(which(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "cut") {
+      does([this, words] { world().cut_worker(machine(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold"); });
+    } else if (verb == "hang") {
+      does([this, words] { world().hang(machine(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "die") {
+      does([this, words] { world().die(machine(words.at(1))); });
+    } else if (verb == "notice") {
+      does([this, words] { world().notice(machine(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "faulty") {
+      does([this, words] { world().make_faulty(machine(words.at(1))); });
+    } else if (verb == "expect") {
+      ++expectations_;
+      does([this, words, line] { expect(words, line); });
+    } else {
+      throw std::runtime_error("unknown event " + verb);
+    }
+  }
+
+  Submission read_job(const Words& words) {
+    Options options(words, 2, {"one_zone", "spread", "spot"});
+    Submission submission;
+    wire::JobSpec& spec = submission.spec;
+    spec.id = JobId(words.at(1));
+    const std::string kind = options.text("kind", "array");
+    spec.kind = kind == "gang" ? wire::JobKind::gang : kind == "service" ? wire::JobKind::service : wire::JobKind::array;
+    const std::string priority = options.text("priority", "standard");
+    spec.priority = priority == "production" ? wire::Priority::production
+                    : priority == "high"     ? wire::Priority::high
+                    : priority == "low"      ? wire::Priority::best_effort
+                                             : wire::Priority::standard;
+    spec.team = options.text("team", "red");
+    spec.job_class = options.text("class", "work");
+    spec.tasks = static_cast<std::uint32_t>(options.number("tasks", 1));
+    spec.cpus = options.number("cpus", 1);
+    spec.gpus = options.number("gpus", 0);
+    spec.ram_gb = options.number("ram", 1);
+    spec.image = options.text("image", "img");
+    spec.image_gb = options.number("image_gb", 0);
+    if (const std::string types = options.text("types"); !types.empty()) spec.types = {types};
+    spec.zone = options.text("zone");
+    spec.one_zone = options.flag("one_zone");
+    spec.spread = options.flag("spread");
+    spec.spot = options.flag("spot");
+    submission.run_s = options.number("run", 10);
+    spec.estimate_s = spec.kind == wire::JobKind::service ? 0 : options.number("estimate", submission.run_s);
+    spec.checkpoint_s = options.number("checkpoint", 0);
+    spec.save_s = options.number("save", 0);
+    if (const double deadline_s = options.number("deadline"); deadline_s > 0) spec.deadline_s = deadline_s;
+    options.finish();
+    return submission;
+  }
+
+  void expect(const Words& words, int line) {
+    SCOPED_TRACE("line " + std::to_string(line));
+    const std::string& what = words.at(1);
+    if (what.starts_with("j-") && what.find('/') == std::string::npos) {
+      const JobId id(what);
+      const std::string& verb = words.at(2);
+      if (verb == "started") {   // before T | after T | never
+        const auto start = world().first_start_s(id);
+        if (words.at(3) == "never") {
+          EXPECT_FALSE(start) << "started at " << start.value_or(0);
+        } else {
+          ASSERT_TRUE(start) << "not started";
+          if (words[3] == "before") {
+            EXPECT_LT(*start, std::stod(words.at(4)));
+          } else {
+            EXPECT_GE(*start, std::stod(words.at(4)));
+          }
+        }
+        return;
+      }
+      const auto status = world().ask(id);
+      ASSERT_TRUE(status) << "no such job";
+      EXPECT_EQ(wire::name_of(status->state), verb);
+      return;
+    }
+    if (what.starts_with("j-")) {
+      const TaskKey task = *wire::task_key_from(what);
+      if (words.at(2) == "on") {
+        ASSERT_EQ(world().where(task).size(), 1U) << "is on no machine, or on several";
+        EXPECT_EQ(world().where(task).front(), machine(words.at(3)));
+      } else if (words.at(2) == "nowhere") {
+        EXPECT_TRUE(world().where(task).empty());
+      } else if (words.at(2) == "starts") {
+        EXPECT_EQ(world().starts_of(task), std::stoul(words.at(3)));
+      } else {
+        throw std::runtime_error("unknown expectation " + words[2]);
+      }
+      return;
+    }
+    if (what == "machines") {   // exactly | at_least | at_most N
+      const std::size_t count = std::stoul(words.at(3));
+      if (words.at(2) == "at_least") {
+        EXPECT_GE(world().machines_up(), count);
+      } else if (words[2] == "at_most") {
+        EXPECT_LE(world().machines_up(), count);
+      } else {
+        EXPECT_EQ(world().machines_up(), count);
+      }
+    } else if (what == "leader") {
+      ASSERT_TRUE(world().leader());
+      if (words.at(2) != "any") {
+        EXPECT_EQ(*world().leader(), node(words[2]));
+      }
+    } else {
+      throw std::runtime_error("unknown expectation " + what);
+    }
+  }
+
+  unsigned seed_ = 1;
+  std::size_t nodes_ = 3;
+  double end_s_ = 0;
+  int expectations_ = 0;
+  config::Settings settings_;
+  std::vector<Supply> supplies_;
+  std::unique_ptr<World> world_;
+};
+
+std::vector<std::filesystem::path> scenario_files() {
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(FOXSHUNT_SCENARIOS)) {
+    if (entry.path().extension() == ".txt") files.push_back(entry.path());
+  }
+  std::ranges::sort(files);
+  return files;
+}
+
+class Scenarios : public testing::TestWithParam<std::filesystem::path> {};
+
+TEST_P(Scenarios, Holds) {
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level == nullptr ? spdlog::level::off : spdlog::level::from_str(level));
+  Scenario(GetParam()).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, Scenarios, testing::ValuesIn(scenario_files()), [](const auto& info) {
+  std::string name = info.param.stem().string();
+  std::ranges::replace(name, '-', '_');
+  return name;
+});
+
+}  // namespace
+}  // namespace foxshunt::standins
