--- /dev/null
+++ b/src/cli/client.cpp
@@ -0,0 +1,122 @@
+#include "cli/client.h"
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "config/constants.h"
+#include "net/http.h"
+#include "wire/messages.h"
+
+namespace foxshunt::cli {
+namespace {
+
+using nlohmann::json;
+
+wire::Value to_value(const json& item) {
+  switch (item.type()) {
+    case json::value_t::boolean: return item.get<bool>();
+    case json::value_t::number_unsigned: return item.get<std::uint64_t>();
+    case json::value_t::number_integer:
+    case json::value_t::number_float: return item.get<double>();
+    case json::value_t::string: return item.get<std::string>();
+    case json::value_t::array: {
+      wire::Value::List list;
+      for (const json& entry : item) list.push_back(to_value(entry));
+      return list;
+    }
+    case json::value_t::object: {
+      wire::Value::Map map;
+      for (const auto& [key, entry] : item.items()) map.emplace_back(key, to_value(entry));
+      return map;
+    }
+    default: return {};
+  }
+}
+
+// Asks until there is an answer that settles it, as PROTOCOL's users do: 429, 503, 504 and silence are tried
+// again for a minute.
+std::optional<net::HttpResponse> ask(const std::string& to, const net::HttpRequest& request) {
+  const auto address = net::parse_address(to);
+  if (!address) throw std::invalid_argument("--to: must be an IPv4 address with a port");
+  net::HttpClient client(*address, constants::kCliConnectLimit);
+  const net::Deadline until = net::Clock::now() + constants::kCliTryFor;
+  while (true) {
+    const auto answer = client.call(request, std::min(until, net::Clock::now() + constants::kCliCallLimit));
+    if (answer && answer->status != 429 && answer->status != 503 && answer->status != 504) return answer;
+    auto wait = std::chrono::seconds(1);
+    if (answer && answer->retry_after_s) wait = std::max(wait, std::chrono::seconds(*answer->retry_after_s));
+    if (net::Clock::now() + wait >= until) {
+      std::cerr << "foxshunt: " << to << (answer ? " can't take it now" : " does not answer") << "\n";
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(wait);
+  }
+}
+
+// Prints the job's state, or why there is none.
+Exit tell(const net::HttpResponse& answer, wire::JobStatus* told) {
+  try {
+    if (answer.status == 200 || answer.status == 201) {
+      const wire::JobStatus status = wire::job_status_from(wire::decode(answer.body));
+      std::cout << status.id.text() << " " << wire::name_of(status.state) << " done " << status.done << " running "
+                << status.running << std::endl;
+      if (told != nullptr) *told = status;
+      return Exit::fine;
+    }
+    std::string why = "status " + std::to_string(answer.status);
+    if (!answer.body.empty()) {
+      const wire::Value body = wire::decode(answer.body);
+      if (const std::string* text = body["error"].as_text()) why = *text;
+    }
+    std::cerr << "foxshunt: " << why << "\n";
+  } catch (const wire::Malformed& error) {
+    std::cerr << "foxshunt: the answer can't be read: " << error.what() << "\n";
+    return Exit::failed;
+  }
+  if (answer.status == 404) return Exit::no_such_job;
+  return answer.status == 400 || answer.status == 422 ? Exit::usage : Exit::failed;
+}
+
+}  // namespace
+
+Exit submit(const std::string& to, const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "foxshunt: " << path << " cannot be read\n";
+    return Exit::usage;
+  }
+  wire::Value body;
+  try {
+    body = to_value(json::parse(file));
+    (void)wire::job_spec_from(body);
+  } catch (const json::parse_error& error) {
+    std::cerr << "foxshunt: " << path << ": not JSON: " << error.what() << "\n";
+    return Exit::usage;
+  } catch (const wire::Malformed& error) {
+    std::cerr << "foxshunt: " << path << ": " << error.what() << "\n";
+    return Exit::usage;
+  }
+  const auto answer = ask(to, {.method = "POST", .path = "/api/jobs", .body = wire::encode(body)});
+  return answer ? tell(*answer, nullptr) : Exit::failed;
+}
+
+Exit status(const std::string& to, const std::string& job, bool wait) {
+  while (true) {
+    const auto answer = ask(to, {.method = "GET", .path = "/api/jobs/" + job, .body = {}});
+    if (!answer) return Exit::failed;
+    wire::JobStatus told;
+    const Exit exit = tell(*answer, &told);
+    const bool over = told.state == wire::JobState::done || told.state == wire::JobState::withdrawn;
+    if (exit != Exit::fine || !wait || over) return exit;
+    std::this_thread::sleep_for(constants::kCliPollEvery);
+  }
+}
+
+Exit cancel(const std::string& to, const std::string& job) {
+  const auto answer = ask(to, {.method = "POST", .path = "/api/jobs/" + job + "/abort", .body = {}});
+  return answer ? tell(*answer, nullptr) : Exit::failed;
+}
+
+}  // namespace foxshunt::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "cli/client.h"
 #include "config/settings.h"
 #include "net/http.h"
 #include "node/node.h"
@@ -60,6 +61,20 @@
   CLI::App* check_command = app.add_subcommand("check-config", "say whether the files can be used");
   check_command->add_option("--config", config_path, "deploy file (JSON)")->required();
   check_command->add_option("--settings", operator_path, "operators' own settings (XML)");
+  std::string to = "127.0.0.1:8080";
+  std::string job;
+  std::string path;
+  bool wait = false;
+  CLI::App* submit_command = app.add_subcommand("submit", "submit the job of a JSON file");
+  submit_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
+  submit_command->add_option("file", path, "the job, with the fields of POST /api/jobs")->required();
+  CLI::App* status_command = app.add_subcommand("status", "show a job's state");
+  status_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
+  status_command->add_option("job", job, "the job's id")->required();
+  status_command->add_flag("--wait", wait, "ask until the job is done or withdrawn");
+  CLI::App* cancel_command = app.add_subcommand("cancel", "withdraw a job");
+  cancel_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
+  cancel_command->add_option("job", job, "the job's id")->required();
   CLI::App* version_command = app.add_subcommand("version", "print the version");
   try {
     app.parse(argc, argv);
@@ -80,10 +95,16 @@
       std::cout << "ok\n";
       return 0;
     }
+    if (submit_command->parsed()) return static_cast<int>(cli::submit(to, path));
+    if (status_command->parsed()) return static_cast<int>(cli::status(to, job, wait));
+    if (cancel_command->parsed()) return static_cast<int>(cli::cancel(to, job));
     if (serve_command->parsed()) return serve(config_path, operator_path);
   } catch (const config::BadSettings& error) {
     std::cerr << "foxshunt: " << error.what() << "\n";
     return kUsageError;
+  } catch (const std::invalid_argument& error) {
+    std::cerr << "foxshunt: " << error.what() << "\n";
+    return kUsageError;
   } catch (const std::exception& error) {
     std::cerr << "foxshunt: " << error.what() << "\n";
     return 1;
--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -91,4 +91,10 @@
 inline constexpr int kConflictsMost = 4;                        // tries of a cancellation against placements
 inline constexpr std::size_t kTerminalCacheMost = 4096;         // finished jobs whose answers a node keeps
 
+// ---- cli ----
+inline constexpr milliseconds kCliConnectLimit = 1s;            // a controller accepts at once, or is not there
+inline constexpr milliseconds kCliCallLimit = 5s;               // PROTOCOL's users wait as long
+inline constexpr milliseconds kCliTryFor = 60s;                 // and try again for as long
+inline constexpr milliseconds kCliPollEvery = 2s;               // of `status --wait`
+
 }  // namespace foxshunt::constants
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -86,7 +86,10 @@
       return HandlerResponse::Handled;
     });
     const auto serve = [&handler](const httplib::Request& request, httplib::Response& response) {
-      HttpResponse answer = handler({.method = request.method, .path = request.path, .body = request.body});
+      HttpResponse answer = handler({.method = request.method,
+                                     .path = request.path,
+                                     .body = request.body,
+                                     .query = {request.params.begin(), request.params.end()}});
       response.status = answer.status;
       if (answer.retry_after_s) response.set_header("Retry-After", std::to_string(*answer.retry_after_s));
       if (!answer.body.empty()) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -15,6 +15,7 @@
   std::string method;
   std::string path;
   std::string body;
+  std::map<std::string, std::string> query{};   // of requests that a server receives
 };
 
 struct HttpResponse {
--- /dev/null
+++ b/tests/smoke/processes.cpp
@@ -0,0 +1,108 @@
+#include "smoke/processes.h"
+
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace foxshunt::smoke {
+
+using nlohmann::json;
+
+net::Address free_address() {
+  const net::Socket probe = net::listen_on({"127.0.0.1", 0});
+  return net::local_address(probe);
+}
+
+Cluster::Cluster(std::size_t nodes) : pids_(nodes, 0) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "foxshunt-XXXXXX").string();
+  folder_ = ::mkdtemp(pattern.data());
+  std::vector<net::Address> peers;
+  {
+    // Held together, so that no two are the same.
+    std::vector<net::Socket> held;
+    for (std::size_t i = 0; i < 2 * nodes; ++i) held.push_back(net::listen_on({"127.0.0.1", 0}));
+    for (std::size_t i = 0; i < nodes; ++i) {
+      addresses_.push_back(net::local_address(held[2 * i]));
+      peers.push_back(net::local_address(held[2 * i + 1]));
+    }
+  }
+  cloud_ = std::make_unique<standins::HttpCloud>(addresses_, 0.5, 5);
+  for (std::size_t node = 0; node < nodes; ++node) {
+    json siblings = json::array();
+    for (std::size_t other = 0; other < nodes; ++other) {
+      if (other == node) continue;
+      siblings.push_back({{"host_name", "node-" + std::to_string(other)}, {"zone", "a"}, {"endpoint", peers[other].text()}});
+    }
+    const json deploy = {
+        {"host_name", "node-" + std::to_string(node)},
+        {"zone", "a"},
+        {"bind", addresses_[node].text()},
+        {"peer_listen", peers[node].text()},
+        {"siblings", siblings},
+        {"outside", {{"cloud", cloud_->address().text()}, {"state", state_.address().text()}}},
+        {"params",
+         {{"nodes", nodes},
+          {"zones", {"a"}},
+          {"teams", {{{"name", "red"}, {"cpus", 8.0}, {"cpus_max", 16.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}}},
+          {"objectives", json::array()},
+          {"workers", {{"report_s", 0.5}, {"lease_s", 5.0}, {"gang_wait_s", 10.0}, {"gang_peer_s", 2.0}, {"cancel_s", 20.0}}},
+          {"state", {{"rps", 400.0}, {"write_rps", 100.0}, {"value_kb", 8.0}, {"txn_ops", 24}}},
+          {"cloud", {{"rps", 20.0}, {"list_lag_s", 0.0}}},
+          {"limits", {{"cpu", 1.0}, {"ram_mb", 56.0}, {"max_connections", 700}}},
+          {"skew_ms", 5.0}}}};
+    std::ofstream(folder_ / ("node-" + std::to_string(node) + ".json")) << deploy.dump(2);
+  }
+}
+
+Cluster::~Cluster() {
+  for (std::size_t node = 0; node < pids_.size(); ++node) kill(node);
+  std::filesystem::remove_all(folder_);
+}
+
+void Cluster::start(std::size_t node) {
+  const std::string config = (folder_ / ("node-" + std::to_string(node) + ".json")).string();
+  const std::string log = (folder_ / ("node-" + std::to_string(node) + ".log")).string();
+  const pid_t child = ::fork();
+  if (child == 0) {
+    std::FILE* const file = std::freopen(log.c_str(), "a", stderr);
+    (void)file;
+    ::execl(FOXSHUNT_PROGRAM, FOXSHUNT_PROGRAM, "serve", "--config", config.c_str(), nullptr);
+    ::_exit(127);
+  }
+  pids_[node] = child;
+}
+
+void Cluster::kill(std::size_t node) {
+  if (pids_[node] == 0) return;
+  ::kill(pids_[node], SIGKILL);
+  ::waitpid(pids_[node], nullptr, 0);
+  pids_[node] = 0;
+}
+
+bool Cluster::wait_until_up(std::size_t node) const {
+  for (int tries = 0; tries < 600; ++tries) {
+    net::HttpClient client(addresses_[node], std::chrono::milliseconds(500));
+    const auto answer = client.call({.method = "GET", .path = "/up", .body = {}}, net::Clock::now() + std::chrono::seconds(2));
+    if (answer && answer->status == 200) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  return false;
+}
+
+Ran run(const std::string& arguments) {
+  Ran ran;
+  std::FILE* const pipe = ::popen((std::string(FOXSHUNT_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  if (pipe == nullptr) return ran;
+  std::array<char, 512> part{};
+  while (std::fgets(part.data(), part.size(), pipe) != nullptr) ran.out += part.data();
+  const int status = ::pclose(pipe);
+  ran.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return ran;
+}
+
+}  // namespace foxshunt::smoke
--- /dev/null
+++ b/tests/smoke/processes.h
@@ -0,0 +1,47 @@
+// Three controllers as real processes on loopback, with stand-ins around them.
+#pragma once
+
+#include <sys/types.h>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "standins/http_world.h"
+
+namespace foxshunt::smoke {
+
+// A port that the kernel chose; it is free again, and nothing else on loopback asks for it by number.
+[[nodiscard]] net::Address free_address();
+
+class Cluster {
+ public:
+  explicit Cluster(std::size_t nodes);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  void start(std::size_t node);
+  void kill(std::size_t node);
+  [[nodiscard]] pid_t pid(std::size_t node) const { return pids_[node]; }
+  [[nodiscard]] const net::Address& address(std::size_t node) const { return addresses_[node]; }
+  [[nodiscard]] bool wait_until_up(std::size_t node) const;
+  [[nodiscard]] standins::HttpCloud& cloud() { return *cloud_; }
+  [[nodiscard]] const std::filesystem::path& folder() const { return folder_; }
+
+ private:
+  std::filesystem::path folder_;
+  standins::HttpState state_;
+  std::vector<net::Address> addresses_;
+  std::vector<pid_t> pids_;
+  std::unique_ptr<standins::HttpCloud> cloud_;
+};
+
+struct Ran {
+  int code = -1;
+  std::string out;
+};
+// Runs the program with these arguments, standard error included in what it said.
+[[nodiscard]] Ran run(const std::string& arguments);
+
+}  // namespace foxshunt::smoke
--- /dev/null
+++ b/tests/smoke/smoke_test.cpp
@@ -0,0 +1,153 @@
+// Drives the program as a user would: three processes, the command line, kills and bad input.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "smoke/processes.h"
+#include "wire/messages.h"
+
+namespace foxshunt::smoke {
+namespace {
+
+wire::JobSpec job(const std::string& id, std::uint32_t tasks, wire::JobKind kind = wire::JobKind::array) {
+  wire::JobSpec spec;
+  spec.id = JobId(id);
+  spec.job_class = "work";
+  spec.team = "red";
+  spec.kind = kind;
+  spec.tasks = tasks;
+  spec.cpus = 2;
+  spec.ram_gb = 1;
+  spec.image = "img";
+  spec.image_gb = 0.1;
+  spec.estimate_s = kind == wire::JobKind::service ? 0 : 1;
+  return spec;
+}
+
+// The file that a user writes for it.
+std::string job_file(const Cluster& cluster, const wire::JobSpec& spec, const std::string& team = "red") {
+  const std::filesystem::path path = cluster.folder() / (spec.id.text() + ".json");
+  std::ofstream(path) << R"({"id":")" << spec.id.text() << R"(","breed":"work","pack":")" << team << R"(","gait":")"
+                      << (spec.kind == wire::JobKind::service ? "service" : spec.kind == wire::JobKind::gang ? "ensemble" : "array")
+                      << R"(","rank":"standard","cubs":)" << spec.tasks << R"(,"cpus":)" << spec.cpus
+                      << R"(,"cards":0,"ramGb":1.0,"pelt":"img","pullGb":0.1,"burrows":null,"covert":null,)"
+                      << R"("samePlace":false,"spread":false,"strays":false,"runS":)" << spec.estimate_s
+                      << R"(,"cacheS":0,"buryS":0,"duskS":null})";
+  return path.string();
+}
+
+std::string to(const Cluster& cluster, std::size_t node) { return "--to " + cluster.address(node).text() + " "; }
+
+net::HttpResponse post(const net::Address& address, const std::string& path, const std::string& body) {
+  net::HttpClient client(address, std::chrono::seconds(1));
+  const auto answer = client.call({.method = "POST", .path = path, .body = body}, net::Clock::now() + std::chrono::seconds(10));
+  return answer.value_or(net::HttpResponse{.status = 0, .body = {}, .retry_after_s = {}});
+}
+
+TEST(Smoke, ThreeProcessesServeUsers) {
+  Cluster cluster(3);
+  for (std::size_t node = 0; node < 3; ++node) cluster.start(node);
+  for (std::size_t node = 0; node < 3; ++node) ASSERT_TRUE(cluster.wait_until_up(node));
+
+  const wire::JobSpec array = job("j-000001", 5);
+  cluster.cloud().upload(array, 0.5);
+  Ran ran = run("submit " + to(cluster, 0) + job_file(cluster, array));
+  EXPECT_EQ(ran.code, 0) << ran.out;
+  EXPECT_EQ(ran.out, "j-000001 pending done 0 running 0\n");
+  ran = run("status --wait " + to(cluster, 1) + "j-000001");
+  EXPECT_EQ(ran.code, 0);
+  EXPECT_NE(ran.out.find("j-000001 done done 5 running 0"), std::string::npos) << ran.out;
+  ran = run("submit " + to(cluster, 2) + job_file(cluster, array));   // again
+  EXPECT_EQ(ran.out, "j-000001 done done 5 running 0\n");
+
+  const wire::JobSpec gang = job("j-000002", 3, wire::JobKind::gang);
+  cluster.cloud().upload(gang, 0.3);
+  cluster.cloud().upload(job("j-000003", 2, wire::JobKind::service), 0);
+  EXPECT_EQ(run("submit " + to(cluster, 1) + job_file(cluster, job("j-000003", 2, wire::JobKind::service))).code, 0);
+  EXPECT_EQ(run("cancel " + to(cluster, 2) + "j-000003").out, "j-000003 withdrawn done 0 running 0\n");
+  EXPECT_EQ(run("status " + to(cluster, 0) + "j-000003").out, "j-000003 withdrawn done 0 running 0\n");
+
+  // All nodes end; what was accepted is still there, and what runs is not started again.
+  const wire::JobSpec later = job("j-000004", 2);
+  cluster.cloud().upload(later, 3);
+  EXPECT_EQ(run("submit " + to(cluster, 0) + job_file(cluster, later)).code, 0);
+  for (std::size_t node = 0; node < 3; ++node) cluster.kill(node);
+  for (std::size_t node = 0; node < 3; ++node) cluster.start(node);
+  ran = run("status --wait " + to(cluster, 2) + "j-000004");
+  EXPECT_EQ(ran.code, 0) << ran.out;
+  EXPECT_NE(ran.out.find("j-000004 done done 2"), std::string::npos) << ran.out;
+  EXPECT_EQ(cluster.cloud().ran_twice(), 0);
+}
+
+TEST(Smoke, BadInput) {
+  Cluster cluster(1);
+  cluster.start(0);
+  ASSERT_TRUE(cluster.wait_until_up(0));
+  const net::Address& node = cluster.address(0);
+
+  const auto status_of = [&](const std::string& body) { return post(node, "/api/jobs", body).status; };
+  EXPECT_EQ(status_of(""), 400);
+  EXPECT_EQ(status_of("nonsense"), 400);
+  EXPECT_EQ(status_of(std::string(60'000, '\x81')), 400);
+  EXPECT_EQ(status_of(std::string(70'000, 'x')), 400);
+  EXPECT_EQ(status_of(wire::encode(wire::Value::List{})), 400);
+  wire::JobSpec bad = job("j-000009", 1);
+  bad.cpus = -1;
+  EXPECT_EQ(status_of(wire::encode(wire::to_value(bad))), 400);
+  bad.cpus = 1000;
+  EXPECT_EQ(status_of(wire::encode(wire::to_value(bad))), 422);
+  EXPECT_EQ(post(node, "/checkin", "nonsense").status, 400);
+  EXPECT_EQ(post(node, "/nowhere", "").status, 404);
+  EXPECT_EQ(post(node, "/api/jobs/" + std::string(4000, 'a') + "/abort", "").status, 400);
+  EXPECT_EQ(post(node, "/api/jobs/j-000009/abort", "").status, 404);
+
+  Ran ran = run("status " + to(cluster, 0) + "j-999999");
+  EXPECT_EQ(ran.code, 3);
+  EXPECT_EQ(ran.out, "foxshunt: no such job\n");
+  EXPECT_EQ(run("cancel " + to(cluster, 0) + "j-999999").code, 3);
+  ran = run("submit " + to(cluster, 0) + job_file(cluster, job("j-000008", 1), "nobody"));
+  EXPECT_EQ(ran.code, 2);
+  EXPECT_EQ(ran.out, "foxshunt: unknown team nobody\n");
+  EXPECT_EQ(run("submit " + to(cluster, 0) + "no-such-file.json").code, 2);
+  EXPECT_EQ(run("status --to nowhere j-000001").code, 2);
+  EXPECT_EQ(run("status").code, 2);
+  EXPECT_EQ(run("serve --config no-such-file.json").code, 2);
+  EXPECT_EQ(run("check-config --config " + (cluster.folder() / "node-0.json").string()).out, "ok\n");
+  EXPECT_EQ(run("version").code, 0);
+}
+
+// What the process holds, in KiB.
+long resident_kib(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+  }
+  return -1;
+}
+
+TEST(Load, SixHundredIdleConnectionsFitTheMemoryOfABrief) {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  GTEST_SKIP() << "sanitizers hold memory of their own";
+#endif
+  Cluster cluster(1);
+  cluster.start(0);
+  ASSERT_TRUE(cluster.wait_until_up(0));
+  std::vector<std::unique_ptr<net::HttpClient>> clients;
+  for (int i = 0; i < 600; ++i) {
+    clients.push_back(std::make_unique<net::HttpClient>(cluster.address(0), std::chrono::seconds(5)));
+    const auto answer = clients.back()->call({.method = "GET", .path = "/api/jobs/j-000001", .body = {}},
+                                             net::Clock::now() + std::chrono::seconds(10));
+    ASSERT_TRUE(answer) << i;
+    ASSERT_TRUE(answer->status == 404 || answer->status == 503) << answer->status;
+  }
+  EXPECT_LT(resident_kib(cluster.pid(0)), 40 * 1024);
+  // Each of them still works.
+  for (int i = 0; i < 600; i += 100) {
+    const auto answer = clients[static_cast<std::size_t>(i)]->call({.method = "GET", .path = "/up", .body = {}},
+                                                                  net::Clock::now() + std::chrono::seconds(10));
+    ASSERT_TRUE(answer);
+  }
+}
+
+}  // namespace
+}  // namespace foxshunt::smoke
--- /dev/null
+++ b/tests/standins/http_world.h
@@ -0,0 +1,80 @@
+// The stand-ins behind real sockets on loopback, for tests that drive the program itself.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/http.h"
+#include "standins/state_store.h"
+#include "standins/worker.h"
+
+namespace foxshunt::standins {
+
+class HttpState {
+ public:
+  HttpState();
+  [[nodiscard]] net::Address address() const { return server_->address(); }
+
+ private:
+  net::HttpResponse handle(const net::HttpRequest& request);
+  net::HttpResponse follow(const std::map<std::string, std::string>& query);
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  StateStore store_;
+  std::unique_ptr<net::HttpServer> server_;
+};
+
+// Rents workers that live in this process, each with a thread that reports to the nodes.
+class HttpCloud final : public Surroundings {
+ public:
+  HttpCloud(std::vector<net::Address> nodes, double report_s, double lease_s);
+  ~HttpCloud() override;
+
+  [[nodiscard]] net::Address address() const { return server_->address(); }
+  void upload(const wire::JobSpec& spec, double run_s);
+  [[nodiscard]] int ran_twice() const { return ran_twice_; }
+  [[nodiscard]] std::size_t starts();
+
+  const wire::JobSpec* job(const JobId& id) override;
+  Millis run_left(const TaskKey& task) override;
+  bool is_done(const TaskKey& task) override { return done_.contains(task); }
+  void keep_progress(const TaskKey&, Millis) override {}
+  void on_started(const TaskKey& task, AttemptNo attempt, const MachineId& machine) override;
+  void on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& machine, bool done) override;
+
+ private:
+  struct Machine {
+    std::string zone;
+    bool spot = false;
+    Instant rented;
+    bool gone = false;
+    std::unique_ptr<Worker> worker;
+    std::unique_ptr<net::HttpServer> server;
+    std::jthread thread;
+  };
+  net::HttpResponse handle(const net::HttpRequest& request);
+  void live(const std::stop_token& stop, const MachineId& id);
+
+  std::vector<net::Address> nodes_;
+  double report_s_;
+  double lease_s_;
+  wire::MachineType type_;
+  std::recursive_mutex mutex_;   // workers call back while they are advanced
+  std::map<MachineId, Machine> machines_;
+  std::map<std::string, std::vector<MachineId>> rentals_;
+  std::map<JobId, std::pair<wire::JobSpec, double>> jobs_;
+  std::set<TaskKey> done_;
+  std::map<TaskKey, std::set<MachineId>> on_;
+  int ran_twice_ = 0;
+  std::size_t starts_ = 0;
+  std::unique_ptr<net::HttpServer> server_;
+};
+
+}  // namespace foxshunt::standins
