HTTP client: read Retry-After by the only type the library has

Cause: get_header_value<int> of cpp-httplib 0.11 returns nothing, so that any 503 with Retry-After ended the process. Found by the smoke tests.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -298,7 +298,10 @@
     if (!good) return std::nullopt;
     HttpResponse answer{.status = response.status, .body = std::move(response.body), .retry_after_s = {}};
     if (response.has_header("Retry-After")) {
-      answer.retry_after_s = response.get_header_value<int>("Retry-After");
+      // httplib reads headers as std::uint64_t only: for any other type its template returns nothing at all, which
+      // ended processes when a 503 came with Retry-After.
+      constexpr std::uint64_t kMost = 3600;
+      answer.retry_after_s = static_cast<int>(std::min(kMost, response.get_header_value<std::uint64_t>("Retry-After")));
     }
     return answer;
   }
