Idle machines: kept as long as a boot where money counts, long where it does not

Idle is now kept as long as a boot would take; the reserve keeps the cheapest machines that make it up.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -244,13 +244,17 @@
   void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
   [[nodiscard]] Millis patience(const Job& job, Instant now) const;
   // fleet size
-  [[nodiscard]] bool urgent_class(const std::string& job_class) const;
-  [[nodiscard]] bool serves_urgent(const Machine& machine) const;
+  // Whether the operators state an aim for money.
+  [[nodiscard]] bool money_counts() const;
+  // Whether a class has an aim that leaves no time for a boot.
+  [[nodiscard]] bool urgent_class(const std::string& job_class, const wire::JobSpec& sample) const;
+  [[nodiscard]] double boot_cover_s(const wire::JobSpec& spec) const;
+  [[nodiscard]] Millis idle_most(const Machine& machine) const;
   [[nodiscard]] std::optional<Offer> cheapest(const wire::JobSpec& spec, std::int64_t tasks, double ratio_most,
                                               const std::map<SupplyKey, std::size_t>& have, Instant now) const;
   // An hour of the cheapest kind for one task of the job, whether there is one to rent or not.
   [[nodiscard]] double least_price(const wire::JobSpec& spec) const;
-  [[nodiscard]] std::int64_t spare_for(const wire::JobSpec& spec, Instant now, std::set<MachineId>* on) const;
+  [[nodiscard]] std::int64_t spare_for(const wire::JobSpec& spec, std::int64_t reserve, Instant now);
   [[nodiscard]] std::int64_t reserve_for(ClassDemand& demand, Instant now) const;
   void size_fleet(Instant now);
   [[nodiscard]] std::map<SupplyKey, std::size_t> held() const;
@@ -281,6 +285,7 @@
   std::set<MachineId> reserve_;                   // idle, but kept for what may come
   Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
   bool plan_wanted_ = false;
+  Instant planned_;                               // when the latest pass was
 };
 
 }  // namespace foxshunt::control
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -225,8 +225,11 @@
 void Engine::tick(Instant now) {
   if (!leading_) return;
   planner_.forget_before(now);
-  const Millis idle_most = settings_.operators.idle_return_s > 0 ? from_seconds(settings_.operators.idle_return_s)
-                                                                  : constants::kReturnIdle;
+  // What waits for the end of a pause, its own or the cloud's, is not woken by any event.
+  if (now - planned_ >= constants::kReplanEvery &&
+      std::ranges::any_of(jobs_, [](const auto& entry) { return !entry.second.withdrawn && entry.second.pending() > 0; })) {
+    plan_wanted_ = true;
+  }
   std::vector<MachineId> forgotten;
   for (auto& [id, machine] : machines_) {
     const wire::MachineType* kind = type(machine.type);
@@ -282,7 +285,7 @@
     } else if (!machine.idle_since) {
       machine.idle_since = now;
     } else if (settings_.operators.may_return && !reserve_.contains(id) && may_start(now) &&
-               now - *machine.idle_since > (serves_urgent(machine) ? std::max(idle_most, constants::kReturnIdleUrgent) : idle_most)) {
+               now - *machine.idle_since > idle_most(machine)) {
       machine.state = MachineState::returning;
       machine.why = "it is idle";
     }
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -65,6 +65,7 @@
 bool Engine::plan_pass(Instant now) {
   if (!leading_) return false;
   plan_wanted_ = false;
+  planned_ = now;
   planner_.forget_before(now);
   // An overrunning booking is extended by its estimate; what was booked behind it is planned anew below.
   for (auto& [unused, job] : jobs_) {
@@ -132,7 +133,12 @@
     }
     return machine.images.contains(job.spec.image) ? Millis(0) : fetch_time(job.spec, info.type);
   };
-  const std::vector<plan::Placing> placings = planner_.plan(request);
+  std::vector<plan::Placing> placings = planner_.plan(request);
+  if (placings.empty() && !job.failed_on.empty()) {
+    // It is kept off the machines that it failed on only as long as there are others.
+    job.failed_on.clear();
+    placings = planner_.plan(request);
+  }
   std::uint32_t planned = 0;
   const Instant patient_until = now + patience(job, now);
   for (const plan::Placing& placing : placings) {
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -38,22 +38,41 @@
   return all;
 }
 
-bool Engine::urgent_class(const std::string& job_class) const {
+bool Engine::money_counts() const {
+  return std::ranges::any_of(settings_.objectives, [](const config::Objective& objective) {
+    return objective.kind == "price" || objective.kind == "useful";
+  });
+}
+
+// From the wish for a machine to a task that runs on it.
+double Engine::boot_cover_s(const wire::JobSpec& spec) const {
+  const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
+  double cover_s = 0;
+  for (const wire::MachineType& kind : types_) {
+    if (each.count_in(offered(spec, kind)) <= 0) continue;
+    const double kind_s = kind.boot_s * constants::kBootSlack + to_seconds(fetch_time(spec, kind.name)) + settings_.report_s;
+    cover_s = cover_s == 0 ? kind_s : std::min(cover_s, kind_s);
+  }
+  return cover_s;
+}
+
+bool Engine::urgent_class(const std::string& job_class, const wire::JobSpec& sample) const {
   return std::ranges::any_of(settings_.objectives, [&](const config::Objective& objective) {
-    return (objective.kind == "wait" || objective.kind == "finished") && objective.job_class == job_class;
+    if (objective.job_class != job_class || (objective.kind != "wait" && objective.kind != "finished")) return false;
+    if (!money_counts()) return true;
+    const double run_s = objective.kind == "finished" ? sample.estimate_s : 0;
+    return objective.within_s - run_s < boot_cover_s(sample);
   });
 }
 
-bool Engine::serves_urgent(const Machine& machine) const {
+// How long a machine is kept idle. What will come is not known, so that, as with hired skis, keeping it for as
+// long as booting it again would take costs at most twice the least possible.
+Millis Engine::idle_most(const Machine& machine) const {
+  if (settings_.operators.idle_return_s > 0) return from_seconds(settings_.operators.idle_return_s);
+  if (!money_counts()) return constants::kReturnIdleUnpriced;
   const wire::MachineType* kind = type(machine.type);
-  if (kind == nullptr) return false;
-  return std::ranges::any_of(classes_, [&](const auto& entry) {
-    const wire::JobSpec& spec = entry.second.sample;
-    if (!urgent_class(entry.first) || !allows(spec, machine.type, machine.zone, machine.spot)) return false;
-    const std::int64_t fit = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb).count_in(offered(spec, *kind));
-    const double hourly = machine.spot ? kind->spot_price : kind->price;
-    return fit > 0 && hourly / static_cast<double>(fit) <= constants::kReservePriceMost * least_price(spec);
-  });
+  const double boot_s = kind == nullptr ? 0 : kind->boot_s;
+  return std::max(constants::kReturnIdleLeast, from_seconds(boot_s * constants::kIdlePerBoot));
 }
 
 double Engine::least_price(const wire::JobSpec& spec) const {
@@ -101,10 +120,16 @@
   return best;
 }
 
-// How many more tasks of the class could start on machines that are up or booting.
-std::int64_t Engine::spare_for(const wire::JobSpec& spec, Instant now, std::set<MachineId>* on) const {
+// How many more tasks of the class could start on machines that are up or booting. The cheapest of these that
+// make up the reserve are kept.
+std::int64_t Engine::spare_for(const wire::JobSpec& spec, std::int64_t reserve, Instant now) {
+  struct Spare {
+    double price;
+    MachineId machine;
+    std::int64_t fit;
+  };
   const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
-  std::int64_t spare = 0;
+  std::vector<Spare> found;
   for (const auto& [id, machine] : machines_) {
     if (machine.state != MachineState::booting && !usable(machine, now)) continue;
     const wire::MachineType* kind = type(machine.type);
@@ -114,10 +139,16 @@
     const Instant from = std::max(now, machine.ready);
     const std::int64_t fit = each.count_in(use->free(from, from + constants::kAllocationLimit));
     if (fit <= 0) continue;
-    spare += fit;
-    if (on != nullptr) on->insert(id);
+    const double hourly = machine.spot ? kind->spot_price : kind->price;
+    found.push_back({.price = hourly / static_cast<double>(fit), .machine = id, .fit = fit});
+  }
+  std::ranges::sort(found, {}, [](const Spare& spare) { return std::tie(spare.price, spare.machine); });
+  std::int64_t total = 0;
+  for (const Spare& spare : found) {
+    if (total < reserve) reserve_.insert(spare.machine);
+    total += spare.fit;
   }
-  return spare;
+  return total;
 }
 
 std::int64_t Engine::reserve_for(ClassDemand& demand, Instant now) const {
@@ -156,13 +187,10 @@
     shares[offer->key] += static_cast<double>(late) / static_cast<double>(offer->fit);
   }
   for (auto& [name, demand] : classes_) {
-    if (!urgent_class(name)) continue;
+    if (!urgent_class(name, demand.sample)) continue;
     const std::int64_t reserve = reserve_for(demand, now);
     if (reserve == 0) continue;
-    std::set<MachineId> on;
-    const std::int64_t spare = spare_for(demand.sample, now, &on);
-    const std::int64_t missing = reserve - spare;
-    if (missing >= 0) reserve_.insert(on.begin(), on.end());
+    const std::int64_t missing = reserve - spare_for(demand.sample, reserve, now);
     if (missing <= 0) continue;
     const auto offer = cheapest(demand.sample, missing, constants::kReservePriceMost, have, now);
     if (offer) shares[offer->key] += static_cast<double>(missing) / static_cast<double>(offer->fit);
