No machine is rented again for tasks that wait for machines which boot

What a request under way will bring is counted too, and a late boot is written off after twice its time. Idle is kept as a boot takes, unless an aim leaves no time for one; the deploy file states no aim for money, so that nothing may depend on there being one.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -244,11 +244,12 @@
   void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
   [[nodiscard]] Millis patience(const Job& job, Instant now) const;
   // fleet size
-  // Whether the operators state an aim for money.
-  [[nodiscard]] bool money_counts() const;
   // Whether a class has an aim that leaves no time for a boot.
   [[nodiscard]] bool urgent_class(const std::string& job_class, const wire::JobSpec& sample) const;
+  [[nodiscard]] bool serves_urgent(const Machine& machine) const;
   [[nodiscard]] double boot_cover_s(const wire::JobSpec& spec) const;
+  [[nodiscard]] Millis boot_awaited(const wire::JobSpec& spec) const;
+  [[nodiscard]] Millis boot_left(const Machine& machine, Instant now) const;
   [[nodiscard]] Millis idle_most(const Machine& machine) const;
   [[nodiscard]] std::optional<Offer> cheapest(const wire::JobSpec& spec, std::int64_t tasks, double ratio_most,
                                               const std::map<SupplyKey, std::size_t>& have, Instant now) const;
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -128,8 +128,7 @@
     }
     if (machine.state != MachineState::booting && !usable(machine, now)) return std::nullopt;
     if (machine.state == MachineState::booting && machine.ready < now) {
-      // Late: how late nobody knows, so it is expected a moment ahead, again and again.
-      return fetch_time(job.spec, info.type) + constants::kAllocationLimit;
+      return fetch_time(job.spec, info.type) + boot_left(machine, now);
     }
     return machine.images.contains(job.spec.image) ? Millis(0) : fetch_time(job.spec, info.type);
   };
@@ -140,7 +139,8 @@
     placings = planner_.plan(request);
   }
   std::uint32_t planned = 0;
-  const Instant patient_until = now + patience(job, now);
+  // Renting helps only a task that a machine rented now would start earlier; those that boot are waited for.
+  const Instant patient_until = now + std::max(patience(job, now), boot_awaited(job.spec));
   for (const plan::Placing& placing : placings) {
     planned += placing.count;
     if (placing.start > patient_until + constants::kTick) job.late_tasks += placing.count;
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -38,10 +38,25 @@
   return all;
 }
 
-bool Engine::money_counts() const {
-  return std::ranges::any_of(settings_.objectives, [](const config::Objective& objective) {
-    return objective.kind == "price" || objective.kind == "useful";
-  });
+// The longest, as it isn't known yet which kind will be rented: a shorter one would have tasks that wait for a slow
+// kind rent again in every pass until the cloud has no more.
+Millis Engine::boot_awaited(const wire::JobSpec& spec) const {
+  const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
+  double longest_s = 0;
+  for (const wire::MachineType& kind : types_) {
+    const bool named = spec.types.empty() || std::ranges::find(spec.types, kind.name) != spec.types.end();
+    if (named && each.count_in(offered(spec, kind)) > 0) longest_s = std::max(longest_s, kind.boot_s);
+  }
+  return from_seconds(longest_s) + constants::kCloudCallLimit;
+}
+
+// What is left of a boot that is late. Most end soon after their time; one that is very late may never end, and is
+// no longer worth waiting for once it has taken as long again.
+Millis Engine::boot_left(const Machine& machine, Instant now) const {
+  const wire::MachineType* kind = type(machine.type);
+  const Millis boot = from_seconds(kind == nullptr ? 0 : kind->boot_s);
+  const Millis taken = now - machine.since;
+  return taken < boot * constants::kBootSlack ? boot / 4 : taken;
 }
 
 // From the wish for a machine to a task that runs on it.
@@ -59,17 +74,29 @@
 bool Engine::urgent_class(const std::string& job_class, const wire::JobSpec& sample) const {
   return std::ranges::any_of(settings_.objectives, [&](const config::Objective& objective) {
     if (objective.job_class != job_class || (objective.kind != "wait" && objective.kind != "finished")) return false;
-    if (!money_counts()) return true;
     const double run_s = objective.kind == "finished" ? sample.estimate_s : 0;
     return objective.within_s - run_s < boot_cover_s(sample);
   });
 }
 
+bool Engine::serves_urgent(const Machine& machine) const {
+  const wire::MachineType* kind = type(machine.type);
+  if (kind == nullptr) return false;
+  return std::ranges::any_of(classes_, [&](const auto& entry) {
+    const wire::JobSpec& spec = entry.second.sample;
+    if (!urgent_class(entry.first, spec) || !allows(spec, machine.type, machine.zone, machine.spot)) return false;
+    const std::int64_t fit = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb).count_in(offered(spec, *kind));
+    const double hourly = machine.spot ? kind->spot_price : kind->price;
+    return fit > 0 && hourly / static_cast<double>(fit) <= constants::kReservePriceMost * least_price(spec);
+  });
+}
+
 // How long a machine is kept idle. What will come is not known, so that, as with hired skis, keeping it for as
-// long as booting it again would take costs at most twice the least possible.
+// long as booting it again would take costs at most twice the least possible. Where an aim leaves no time for a
+// boot, it is kept for longer.
 Millis Engine::idle_most(const Machine& machine) const {
   if (settings_.operators.idle_return_s > 0) return from_seconds(settings_.operators.idle_return_s);
-  if (!money_counts()) return constants::kReturnIdleUnpriced;
+  if (serves_urgent(machine)) return constants::kReturnIdleUrgent;
   const wire::MachineType* kind = type(machine.type);
   const double boot_s = kind == nullptr ? 0 : kind->boot_s;
   return std::max(constants::kReturnIdleLeast, from_seconds(boot_s * constants::kIdlePerBoot));
@@ -196,6 +223,11 @@
     if (offer) shares[offer->key] += static_cast<double>(missing) / static_cast<double>(offer->fit);
   }
   for (const auto& [key, share] : shares) wanted_[key] = static_cast<std::uint64_t>(std::ceil(share));
+  if (rental_) {
+    // Its answer is under way; no machine of it is booked yet.
+    std::uint64_t& count = wanted_[{rental_->type, rental_->zone, rental_->spot}];
+    count -= std::min(count, rental_->count);
+  }
 }
 
 }  // namespace foxshunt::control
