Order of planning: a job counts as submitted the later the more of the fleet's time it takes

The queue can't be shorter, but fewer can wait in it. Bounded by kLagMost, so that large jobs are passed for three minutes at the most. A matter of policy.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -74,6 +74,8 @@
 inline constexpr milliseconds kErrorPause = 5s;                 // first pause of a job whose tasks fail
 inline constexpr milliseconds kErrorPauseMost = 120s;           // failing jobs are tried this often for ever
 inline constexpr milliseconds kHaltRepeat = 1s;                 // direct halts are repeated until proof
+inline constexpr double kLagPerWork = 8;                        // times the span for which a job would fill the whole fleet
+inline constexpr milliseconds kLagMost = 180s;                  // bounds how long small work may pass a large job
 inline constexpr std::size_t kTasksPlannedPerPass = 500;        // of one array, as the paper does
 
 inline constexpr milliseconds kReplanEvery = 2s;                // pauses of jobs and supplies end without an event
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -234,6 +234,8 @@
   // What a machine of the kind has for the job: work without GPUs leaves room for those that have use for them.
   [[nodiscard]] Amounts offered(const wire::JobSpec& spec, const wire::MachineType& kind) const;
   void learn_class(const Job& job);
+  // How much later than it was submitted a job counts as submitted: the more it takes, the later.
+  [[nodiscard]] Millis lag(const Job& job) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
   void plan_job(Job& job, Instant now);
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -27,11 +27,23 @@
   return std::max(Millis(1000), std::min(from_seconds(job.spec.estimate_s), constants::kPlanHorizon));
 }
 
+Millis Engine::lag(const Job& job) const {
+  const Amounts fleet = planner_.fleet().capacity();
+  double share = 0;
+  for (std::size_t r = 0; r < plan::kResources; ++r) {
+    if (fleet.of[r] <= 0) continue;
+    share = std::max(share, static_cast<double>(job.each.of[r]) * job.spec.tasks / static_cast<double>(fleet.of[r]));
+  }
+  const Millis work = from_seconds(share * to_seconds(estimate(job)) * constants::kLagPerWork);
+  return std::min(work, constants::kLagMost);
+}
+
 std::vector<Job*> Engine::planning_order(Instant now) {
   // What fits a team's guarantee, its urgent work first, goes before what is borrowed; then by priority.
   struct Entry {
     Job* job;
     bool borrowed;
+    Instant since;
   };
   std::vector<Entry> order;
   std::map<std::string, std::vector<Job*>> by_team;
@@ -50,12 +62,12 @@
       cpus += job->spec.cpus * tasks;
       gpus += job->spec.gpus * tasks;
       const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
-      if (job->pending() > 0 && job->not_before <= now) order.push_back({.job = job, .borrowed = !within});
+      if (job->pending() > 0 && job->not_before <= now) order.push_back({.job = job, .borrowed = !within, .since = job->submitted + lag(*job)});
     }
   }
   std::ranges::sort(order, [](const Entry& a, const Entry& b) {
-    return std::tuple(a.borrowed, -static_cast<int>(a.job->spec.priority), a.job->submitted, a.job->spec.id) <
-           std::tuple(b.borrowed, -static_cast<int>(b.job->spec.priority), b.job->submitted, b.job->spec.id);
+    return std::tuple(a.borrowed, -static_cast<int>(a.job->spec.priority), a.since, a.job->spec.id) <
+           std::tuple(b.borrowed, -static_cast<int>(b.job->spec.priority), b.since, b.job->spec.id);
   });
   std::vector<Job*> jobs;
   for (const Entry& entry : order) jobs.push_back(entry.job);
