A new leader does not return as lost boots machines that it knows only by the list

They now have a worker's lease of time, and a machine that is listed as running is not booting. Scenario takeover-keeps-idle-machines fails without it.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -95,7 +95,8 @@
   std::set<std::string> images;
   int errors = 0;
   std::optional<Instant> idle_since;
-  bool listed = false;
+  Instant known;                               // first heard of by this leader
+  bool listed_running = false;                 // the newest list says that it has booted
   bool listed_failed = false;
   Instant last_listed;
   std::string why;                             // it is drained or returned
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -14,6 +14,7 @@
   if (fresh) {
     entry->second.id = id;
     entry->second.since = now;
+    entry->second.known = now;
     entry->second.ready = now;
     entry->second.last_listed = now;
   }
@@ -94,7 +95,7 @@
     if (gone_machines_.contains(entry.id)) continue;   // an old list
     const bool fresh = !machines_.contains(entry.id);
     Machine& machine = know_machine(entry.id, now);
-    machine.listed = true;
+    machine.listed_running = entry.state == wire::ListedState::running;
     machine.last_listed = now;
     if (machine.type.empty()) {
       machine.type = entry.type;
@@ -256,8 +257,13 @@
       }
     }
     const bool idle = machine.runs.empty();
-    if (machine.state == MachineState::booting && idle && kind != nullptr &&
-        now - machine.since > from_seconds(kind->boot_s * constants::kBootLost)) {
+    // A new leader hears of machines by the list before their workers report to it: those that are up must not
+    // be taken for lost boots. They have the time in which a worker finds its leader.
+    const bool boot_lost = kind != nullptr && !machine.listed_running &&
+                           now - machine.since > from_seconds(kind->boot_s * constants::kBootLost);
+    if (machine.state == MachineState::booting && idle &&
+        ((boot_lost && now - machine.known > lease_span(settings_)) ||
+         (machine.listed_running && now - machine.known > lease_span(settings_) * 2 + from_seconds(kind == nullptr ? 0 : kind->boot_s)))) {
       machine.state = MachineState::returning;
       machine.why = "it did not come up";
       continue;
