The answer to a report waits briefly until its outcome is durable, and brings the next start

The answer now waits up to 600 ms for the writes that its report caused, then looks again at the right to answer and start. It is not known earlier, so that nothing known is held back.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -80,6 +80,7 @@
 
 inline constexpr milliseconds kReplanEvery = 2s;                // pauses of jobs and supplies end without an event
 inline constexpr milliseconds kPlanPause = 100ms;               // between passes; what came meanwhile is planned at once
+inline constexpr milliseconds kReportSettle = 600ms;            // an answer awaits the writes that its report caused
 inline constexpr milliseconds kWritePause = 15ms;               // gathers changes for one transaction
 inline constexpr milliseconds kHaltCallLimit = 3s;              // a silent worker delays only its own halts
 
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -162,6 +162,10 @@
   // ---- workers ----
   // The commands to answer with; nothing when this engine may not act for the controllers.
   [[nodiscard]] std::optional<std::vector<wire::Command>> on_report(const wire::Report& report, Instant now);
+  // Whether all that the report told is durable and planned, so that nothing better can be answered by waiting.
+  [[nodiscard]] bool settled(const wire::Report& report) const;
+  // What may be answered to the same report later on, besides what it was answered with.
+  [[nodiscard]] std::optional<std::vector<wire::Command>> later_commands(const wire::Report& report, Instant now);
   [[nodiscard]] std::vector<DirectHalt> due_halts(Instant now);
 
   // ---- cloud ----
@@ -217,6 +221,8 @@
   void finish_task(Job& job, std::uint32_t index, Instant now);
   void on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now);
   void end_gang(Job& job, Instant now);
+  [[nodiscard]] bool forgettable(const TaskKey& task) const;
+  [[nodiscard]] bool startable(const Job& job, const Run& run, Instant now) const;
   void learn_running(Job& job, Machine& machine, Run& run, std::uint32_t index, wire::TaskState state, Instant now);
   [[nodiscard]] double save_grace(const Job& job) const;
   // machines
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -144,6 +144,62 @@
   run.seen = state;
 }
 
+// Forgotten by the worker only when the record says how it ended.
+bool Engine::forgettable(const TaskKey& task) const {
+  const auto entry = jobs_.find(task.job);
+  if (entry == jobs_.end() || task.index >= entry->second.spec.tasks || entry->second.withdrawn) return true;
+  return entry->second.parts[task.index / constants::kTasksPerPart].settled();
+}
+
+bool Engine::startable(const Job& job, const Run& run, Instant now) const {
+  if (!run.durable || run.halting || !may_start(now)) return false;
+  // All tasks of a gang start, or none: each one's placement has to be durable.
+  return job.spec.kind != wire::JobKind::gang || std::ranges::all_of(job.parts, [](const Part& part) {
+    return std::ranges::all_of(part.runs, [](const auto& entry) { return entry.second.durable; });
+  });
+}
+
+bool Engine::settled(const wire::Report& report) const {
+  if (!leading_) return true;
+  const auto entry = machines_.find(report.machine);
+  if (entry == machines_.end()) return true;
+  const bool any_ended = std::ranges::any_of(report.tasks, [](const wire::TaskReport& task) { return task.state == TaskState::ended; });
+  if (any_ended && plan_wanted_) return false;
+  return std::ranges::all_of(report.tasks, [&](const wire::TaskReport& task) {
+    return task.state != TaskState::ended || forgettable(task.task);
+  }) && std::ranges::all_of(entry->second.runs, [&](const TaskKey& key) {
+    return jobs_.at(key.job).parts[key.index / constants::kTasksPerPart].runs.at(key.index).durable;
+  });
+}
+
+std::optional<std::vector<Command>> Engine::later_commands(const wire::Report& report, Instant now) {
+  // An answer renews the worker's lease, so the right to answer is looked at again.
+  if (!may_answer(now)) return std::nullopt;
+  std::vector<Command> commands;
+  const auto entry = machines_.find(report.machine);
+  if (entry == machines_.end()) return commands;
+  const Machine& machine = entry->second;
+  // A newer report has been taken meanwhile: this one teaches nothing any more.
+  if (std::tie(report.session, report.sequence) != std::tie(machine.session, machine.sequence)) return commands;
+  std::set<TaskKey> present;
+  for (const wire::TaskReport& task : report.tasks) {
+    present.insert(task.task);
+    if (task.state == TaskState::ended && forgettable(task.task)) {
+      commands.push_back({.kind = CommandKind::clear, .task = task.task, .attempt = task.attempt});
+      present.erase(task.task);
+    }
+  }
+  if (machine.state != MachineState::up) return commands;
+  for (const TaskKey& key : machine.runs) {
+    const Run& run = *find_run(key);
+    if (present.contains(key) || run.session != report.session || run.seen) continue;
+    if (startable(jobs_.at(key.job), run, now)) {
+      commands.push_back({.kind = CommandKind::run, .task = key, .attempt = run.attempt});
+    }
+  }
+  return commands;
+}
+
 std::optional<std::vector<Command>> Engine::on_report(const wire::Report& report, Instant now) {
   if (!leading_) return std::nullopt;
   if (report.term > term_) {
@@ -215,9 +271,7 @@
       commands.push_back({.kind = CommandKind::halt, .task = task.task, .attempt = task.attempt, .grace_s = 0});
       continue;
     }
-    // Forgotten by the worker only when the record says how it ended.
-    job = jobs_.contains(task.task.job) ? job : nullptr;
-    if (job == nullptr || job->withdrawn || job->parts[task.task.index / constants::kTasksPerPart].settled()) {
+    if (forgettable(task.task)) {
       commands.push_back({.kind = CommandKind::clear, .task = task.task, .attempt = task.attempt});
     }
   }
@@ -239,14 +293,7 @@
       if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
       continue;
     }
-    if (run.halting || !may_start(now)) continue;
-    // All tasks of a gang start, or none: each one's placement has to be durable.
-    if (job.spec.kind == wire::JobKind::gang &&
-        std::ranges::any_of(job.parts, [](const Part& part) {
-          return std::ranges::any_of(part.runs, [](const auto& entry) { return !entry.second.durable; });
-        })) {
-      continue;
-    }
+    if (!startable(job, run, now)) continue;
     runs.push_back({.kind = CommandKind::run, .task = key, .attempt = run.attempt});
   }
 
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -43,6 +43,7 @@
   state::RateBudget budget;
 
   std::mutex engine_mutex;   // never held across I/O
+  std::condition_variable_any engine_moved;   // with engine_mutex: a write or a planning pass has ended
   control::Engine engine;
   Signal plan_signal;
   Signal write_signal;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -287,6 +287,7 @@
       context_.engine.end_write(*batch, result, now());
       more = context_.engine.plan_wanted();
     }
+    context_.engine_moved.notify_all();
     if (more) context_.plan_signal.raise();
     if (!answered(result.answer)) pause(stop, constants::kStateRetryPause);
   }
@@ -309,7 +310,10 @@
       }
     }
     if (writes) context_.write_signal.raise();
-    if (leading) context_.cloud_signal.raise();
+    if (leading) {
+      context_.engine_moved.notify_all();
+      context_.cloud_signal.raise();
+    }
     pause(stop, leading ? constants::kPlanPause : constants::kKeepLooking);
   }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "config/constants.h"
@@ -96,6 +97,19 @@
     }
     if (writes) context_.write_signal.raise();
     if (plan) context_.plan_signal.raise();
+    // The outcome of a task is answered when it is durable, and with it what may start in its place; by the next
+    // report the machine would have been idle for a whole interval.
+    if (writes || plan) {
+      std::unique_lock lock(context_.engine_mutex);
+      if (!context_.engine.settled(report)) {
+        context_.engine_moved.wait_for(lock, constants::kReportSettle, [&] { return context_.engine.settled(report); });
+        const auto later = context_.engine.later_commands(report, now());
+        if (!later || context_.engine.term() != term) return come_back("it may not act for the controllers now");
+        for (const wire::Command& command : *later) {
+          if (std::ranges::find(*commands, command) == commands->end()) commands->push_back(command);
+        }
+      }
+    }
     return {.status = 200, .body = wire::encode(wire::report_answer(term, *commands)), .retry_after_s = {}};
   }
 
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -434,10 +434,32 @@
     }
     return;
   }
-  const bool late = now_ - sent > constants::kReportAnswerLimit;
   const auto commands = nodes_[node].engine->on_report(report, now_);
-  if (late) return;   // the worker has given it up
-  const Term term = nodes_[node].engine->term();
+  if (now_ - sent > constants::kReportAnswerLimit) return;   // the worker has given it up
+  answer_report(id, report, commands, sent, now_, node, nodes_[node].life);
+}
+
+// As src/node does: the answer waits a little for what the report has caused to become durable.
+void World::answer_report(const MachineId& id, const wire::Report& report, std::optional<std::vector<wire::Command>> commands,
+                          Instant sent, Instant came, std::size_t node, std::uint64_t life) {
+  if (!nodes_[node].alive || nodes_[node].life != life) return;
+  control::Engine& engine = *nodes_[node].engine;
+  if (commands && !engine.settled(report) && now_ - came < constants::kReportSettle) {
+    after(Millis(20), [this, id, report, commands, sent, came, node, life] {
+      answer_report(id, report, commands, sent, came, node, life);
+    });
+    return;
+  }
+  if (commands && now_ > came) {
+    if (const auto later = engine.later_commands(report, now_)) {
+      for (const wire::Command& command : *later) {
+        if (std::ranges::find(*commands, command) == commands->end()) commands->push_back(command);
+      }
+    } else {
+      commands.reset();
+    }
+  }
+  const Term term = engine.term();
   after(delay(), [this, id, commands, term, session = report.session, sent, node] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -120,6 +120,8 @@
   void cloud_duty(std::size_t node);
   void halt_duty(std::size_t node);
   void worker_step(const MachineId& id);
+  void answer_report(const MachineId& id, const wire::Report& report, std::optional<std::vector<wire::Command>> commands,
+                     Instant sent, Instant came, std::size_t node, std::uint64_t life);
   void deliver_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node);
   [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
