A deadline that leaves time for another boot rents cheap machines only

As long as it leaves time for another boot, only kinds of up to 1.5 times the least price are rented.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -65,6 +65,7 @@
 inline constexpr milliseconds kDemandWindow = 240s;             // arrivals of a class are counted over this
 inline constexpr double kReserveSpread = 1.3;                   // deviations of a Poisson process that a reserve covers
 inline constexpr double kLatePriceMost = 8;                     // times the cheapest kind's price for a task, when late
+inline constexpr double kPatientPriceMost = 1.5;                // the same for a deadline that leaves time for cheaper ones
 inline constexpr double kReservePriceMost = 6;                  // the same for machines that only stand by
 inline constexpr double kBootSlack = 1.5;                       // boots are usually done within 1.5 `bootS`
 inline constexpr double kBootLost = 4.0;                        // after this many `bootS` a boot counts as lost
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -209,7 +209,10 @@
     // No more than the team's limit lets run at once.
     while (late > 0 && !quota_for(*job, late)) --late;
     if (late == 0) continue;
-    const auto offer = cheapest(job->spec, late, constants::kLatePriceMost, have, now);
+    // As long as a deadline leaves time for another boot, what is dear can wait for what is cheap to become free.
+    const bool patient = patience(*job, now) > boot_awaited(job->spec) * constants::kBootSlack;
+    const auto offer =
+        cheapest(job->spec, late, patient ? constants::kPatientPriceMost : constants::kLatePriceMost, have, now);
     if (!offer) continue;
     shares[offer->key] += static_cast<double>(late) / static_cast<double>(offer->fit);
   }
