A leader that the state service does not answer asks its siblings, and steps down on a higher term

Controllers now tell each other at peer_listen who leads in which term; a leader without an answer for 3 s asks, resigns on a higher term and names the successor to its workers. Words can only end a lead, so that no rule hangs on them.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -53,6 +53,12 @@
 inline constexpr milliseconds kKeepLooking = 500ms;             // leader's duties of a node that does not lead
 inline constexpr milliseconds kFenceMargin = 2s;                // delay of answers under way, timers that fire late
 
+// ---- peers ----
+inline constexpr milliseconds kPeerEvery = 1s;                  // as often as a lease is renewed
+inline constexpr milliseconds kPeerSilence = 3s;                // renewals were missed; a successor may lead a second later
+inline constexpr milliseconds kPeerCallLimit = 500ms;           // siblings are one hop away
+inline constexpr int kPeerConnectionsMost = 16;                 // a few siblings ask, one connection each
+
 // ---- control ----
 inline constexpr milliseconds kShowEvery = 2s;                  // counts shown of a job in parts lag by this at most
 inline constexpr milliseconds kTick = 250ms;                    // housekeeping of the engine
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -143,6 +143,8 @@
   [[nodiscard]] bool leading() const { return leading_; }
   [[nodiscard]] Term term() const { return term_; }
   [[nodiscard]] Revision term_mark() const { return term_mark_; }
+  // Word of a term from a sibling: a higher one ends this lead.
+  void hear_of(Term term);
   // The lease was confirmed / all changes of records were known at that moment.
   void confirm_lease(Instant when);
   void confirm_reading(Instant when);
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -76,6 +76,10 @@
   spdlog::info("no longer leading in term {}: {}", term_.number(), why);
 }
 
+void Engine::hear_of(Term term) {
+  if (leading_ && term > term_) resign("a sibling knows of term " + std::to_string(term.number()));
+}
+
 void Engine::confirm_lease(Instant when) { lease_confirmed_ = std::max(lease_confirmed_, when); }
 void Engine::confirm_reading(Instant when) { read_confirmed_ = std::max(read_confirmed_, when); }
 
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -1,5 +1,7 @@
 #include "node/context.h"
 
+#include <spdlog/spdlog.h>
+
 #include "config/constants.h"
 
 namespace foxshunt::node {
@@ -42,9 +44,20 @@
       budget(from.state_rps, from.state_write_rps, 1.0 / static_cast<double>(std::max<std::size_t>(1, from.nodes))),
       engine(from) {}
 
-bool Context::state_in_reach() const {
+bool Context::state_in_reach() const { return state_silent_for() < constants::kStateSilence; }
+
+net::Clock::duration Context::state_silent_for() const {
   const net::Clock::time_point heard{net::Clock::duration(state_heard.load())};
-  return net::Clock::now() - heard < constants::kStateSilence;
+  return net::Clock::now() - heard;
+}
+
+bool Context::learn_lead(const NodeName& of, Term in) {
+  const std::lock_guard lock(view_mutex);
+  if (in < term) return false;
+  if (of != leader && !of.empty()) spdlog::info("{} leads in term {}", of.text(), in.number());
+  leader = of;
+  term = in;
+  return true;
 }
 
 }  // namespace foxshunt::node
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -60,6 +60,9 @@
 
   void heard_state() { state_heard = net::Clock::now().time_since_epoch().count(); }
   [[nodiscard]] bool state_in_reach() const;
+  [[nodiscard]] net::Clock::duration state_silent_for() const;
+  // Takes note of who leads; false if a later term is known already.
+  bool learn_lead(const NodeName& of, Term in);
 };
 
 }  // namespace foxshunt::node
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -31,14 +31,6 @@
   return state::lead_view(holder, term);
 }
 
-void LeaderDuty::show(const NodeName& leader, Term term) {
-  const std::lock_guard lock(context_.view_mutex);
-  if (term < context_.term) return;
-  if (leader != context_.leader && !leader.empty()) spdlog::info("{} leads in term {}", leader.text(), term.number());
-  context_.leader = leader;
-  context_.term = term;
-}
-
 void LeaderDuty::run(const std::stop_token& stop) {
   while (!stop.stop_requested()) {
     try {
@@ -50,11 +42,11 @@
       // A lease of this node's earlier life: that process has ended, so it can't act any more.
       const bool own = view->record.leader == context_.settings.name;
       if (view->holder_mark != Revision{} && !own) {
-        show(view->record.leader, view->record.term);
+        context_.learn_lead(view->record.leader, view->record.term);
         watch(stop, *view);
         continue;
       }
-      show({}, view->record.term);
+      context_.learn_lead({}, view->record.term);
       if (take(*view)) hold(stop);
     } catch (const wire::Malformed& error) {
       spdlog::error("leadership records cannot be read: {}", error.what());
@@ -124,7 +116,7 @@
     context_.engine.lead(takeover, began);
     context_.follow_from = live.revision;
   }
-  show(context_.settings.name, term);
+  context_.learn_lead(context_.settings.name, term);
   context_.budget.set_share(constants::kLeaderShare);
   context_.follow_signal.raise();
   context_.plan_signal.raise();
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -21,7 +21,6 @@
   bool take(const state::LeadView& view);
   bool load(Revision term_mark, Term term, std::int64_t others_until_wall_ms);
   void hold(const std::stop_token& stop);
-  void show(const NodeName& leader, Term term);
 
   Context& context_;
   state::Client client_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node/context.h"
 #include "node/front.h"
 #include "node/leadership.h"
+#include "node/peers.h"
 
 namespace foxshunt::node {
 
@@ -28,7 +29,8 @@
         plan_(context_),
         cloud_(context_),
         halt_(context_),
-        server_(bind_address(settings), settings.max_connections - constants::kConnectionReserve,
+        peers_(context_),
+        server_(address_of(settings.bind, "bind"), settings.max_connections - constants::kConnectionReserve,
                 [this](const HttpRequest& request) { return handle(request); }) {
     start(leader_);
     start(follow_);
@@ -36,15 +38,20 @@
     start(plan_);
     start(cloud_);
     start(halt_);
+    start(peers_);
+    if (!settings.peer_listen.empty()) {
+      peer_server_.emplace(address_of(settings.peer_listen, "peer_listen"), constants::kPeerConnectionsMost,
+                           [this](const HttpRequest& request) { return tell_lead(context_, request); });
+    }
     spdlog::info("{} serves at {}", settings.name.text(), server_.address().text());
   }
 
   [[nodiscard]] std::string address() const { return server_.address().text(); }
 
  private:
-  static net::Address bind_address(const config::Settings& settings) {
-    const auto address = net::parse_address(settings.bind);
-    if (!address) throw config::BadSettings("bind: must be an IPv4 address with a port");
+  static net::Address address_of(const std::string& text, const char* field) {
+    const auto address = net::parse_address(text);
+    if (!address) throw config::BadSettings(std::string(field) + ": must be an IPv4 address with a port");
     return *address;
   }
 
@@ -121,8 +128,10 @@
   PlanDuty plan_;
   CloudDuty cloud_;
   HaltDuty halt_;
+  PeerDuty peers_;
   std::vector<std::jthread> duties_;
   net::HttpServer server_;
+  std::optional<net::HttpServer> peer_server_;
 };
 
 Node::Node(const config::Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
--- /dev/null
+++ b/src/node/peers.h
@@ -0,0 +1,28 @@
+// What controllers tell each other: who leads, in which term. It reaches a node that has lost only the state service.
+#pragma once
+
+#include <memory>
+
+#include "net/http.h"
+#include "node/context.h"
+
+namespace foxshunt::node {
+
+// Answers siblings with the leader and term that this node knows of.
+net::HttpResponse tell_lead(Context& context, const net::HttpRequest& request);
+
+// Asks the siblings when the state service is silent. A higher term ends this node's lead at once, so that workers
+// turn to the successor instead of waiting for this node's fence; nothing else follows from what a sibling says.
+class PeerDuty {
+ public:
+  explicit PeerDuty(Context& context);
+  void run(const std::stop_token& stop);
+
+ private:
+  void ask(net::HttpClient& sibling);
+
+  Context& context_;
+  std::vector<net::HttpClient> siblings_;
+};
+
+}  // namespace foxshunt::node
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -110,10 +110,24 @@
     write_duty(node);
     cloud_duty(node);
     halt_duty(node);
+    peer_duty(node);
   }
   after(kStep, [this, node, life] { duties(node, life); });
 }
 
+// Siblings tell a leader that has lost the state service of a successor.
+void World::peer_duty(std::size_t node) {
+  Node& self = nodes_[node];
+  if (!self.cut_from_state || now_ < self.next_peers) return;
+  self.next_peers = now_ + constants::kPeerEvery;
+  for (std::size_t other = 0; other < nodes_.size(); ++other) {
+    const Node& sibling = nodes_[other];
+    if (other == node || !sibling.alive || !sibling.engine->leading() || sibling.engine->term() <= self.engine->term()) continue;
+    self.leader_seen = NodeName("node-" + std::to_string(other));
+    self.engine->hear_of(sibling.engine->term());
+  }
+}
+
 void World::lead_duty(std::size_t node) {
   Node& self = nodes_[node];
   if (self.calling_lead) return;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -89,6 +89,7 @@
     bool calling_write = false;
     bool calling_cloud = false;
     Instant next_list;
+    Instant next_peers;
   };
   struct Rented {
     std::unique_ptr<Worker> worker;   // once it is up
@@ -112,6 +113,7 @@
   // A call to the state service: its answer, late or never, reaches the node if that life of it still runs.
   template <typename Result>
   void call_state(std::size_t node, std::function<Result(StateStore&)> what, std::function<void(const Result&)> then);
+  void peer_duty(std::size_t node);
   void duties(std::size_t node, std::uint64_t life);
   void lead_duty(std::size_t node);
   void take_lead(std::size_t node, const state::LeadView& view);
