--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -40,6 +40,12 @@
 
 void World::after(Millis span, std::function<void()> what) { agenda_.emplace(now_ + span, std::move(what)); }
 
+void World::repeat(Millis span, std::function<bool()> what) {
+  after(span, [this, what = std::move(what)] {
+    if (!what()) repeat(kStep, what);
+  });
+}
+
 Millis World::delay() { return Millis(std::uniform_int_distribution<int>(1, 12)(random_)); }
 
 void World::run_until(double when_s) {
@@ -78,12 +84,11 @@
   if (nodes_[node].cut_from_state) {
     // Held up, it is carried out when the cut is over, and nobody hears of it.
     if (nodes_[node].state_holds) {
-      const auto arrive = std::make_shared<std::function<void()>>();
-      *arrive = [this, node, what, arrive] {
-        if (nodes_[node].cut_from_state || state_out_) return after(kStep, *arrive);
+      repeat(kStep, [this, node, what] {
+        if (nodes_[node].cut_from_state || state_out_) return false;
         (void)what(store_);
-      };
-      after(kStep, *arrive);
+        return true;
+      });
     }
     return reply(none, constants::kStateCallLimit);
   }
@@ -383,18 +388,14 @@
     const auto machine = machines_.find(halt.machine);
     if (machine == machines_.end() || !machine->second.worker || machine->second.gone) continue;
     const Term term = self.engine->term();
-    const auto arrive = std::make_shared<std::function<void()>>();
-    *arrive = [this, halt, term, node, arrive] {
+    repeat(delay(), [this, halt, term, node] {
       Rented& target = machines_.at(halt.machine);
-      if (target.gone || !target.worker->alive) return;
-      if (!reaches(node, target) || target.worker->hung) {
-        if (target.holds || target.worker->hung) after(kStep, *arrive);
-        return;
-      }
+      if (target.gone || !target.worker->alive) return true;
+      if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
       (void)target.worker->direct(term, halt.session, halt.commands, now_);
       target.changed = true;
-    };
-    after(delay(), *arrive);
+      return true;
+    });
   }
 }
 
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -108,6 +108,8 @@
   };
 
   static double control_seconds(Instant when);
+  // Again and again until it is true.
+  void repeat(Millis span, std::function<bool()> what);
   void after(Millis span, std::function<void()> what);
   [[nodiscard]] Millis delay();
   // A call to the state service: its answer, late or never, reaches the node if that life of it still runs.
