--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -259,11 +259,12 @@
     const bool idle = machine.runs.empty();
     // A new leader hears of machines by the list before their workers report to it: those that are up must not
     // be taken for lost boots. They have the time in which a worker finds its leader.
-    const bool boot_lost = kind != nullptr && !machine.listed_running &&
-                           now - machine.since > from_seconds(kind->boot_s * constants::kBootLost);
-    if (machine.state == MachineState::booting && idle &&
-        ((boot_lost && now - machine.known > lease_span(settings_)) ||
-         (machine.listed_running && now - machine.known > lease_span(settings_) * 2 + from_seconds(kind == nullptr ? 0 : kind->boot_s)))) {
+    const Millis boot = from_seconds(kind == nullptr ? 0 : kind->boot_s);
+    const Millis known = now - machine.known;
+    const bool boot_lost = machine.listed_running
+                               ? known > lease_span(settings_) * 2 + boot
+                               : kind != nullptr && known > lease_span(settings_) && now - machine.since > boot * constants::kBootLost;
+    if (machine.state == MachineState::booting && idle && boot_lost) {
       machine.state = MachineState::returning;
       machine.why = "it did not come up";
       continue;
