--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -100,6 +100,7 @@
   bool listed_failed = false;
   Instant last_listed;
   std::string why;                             // it is drained or returned
+  const plan::PlanNode* planned = nullptr;     // of the planner, once its type is known
 };
 
 struct WriteItem {
@@ -230,7 +231,7 @@
   // machines
   Machine& know_machine(const MachineId& id, Instant now);
   [[nodiscard]] const wire::MachineType* type(const std::string& name) const;
-  void refresh_plan_machine(const Machine& machine);
+  void refresh_plan_machine(Machine& machine);
   void drain(Machine& machine, const std::string& why, Instant now);
   void forget_machine(const MachineId& id);
   [[nodiscard]] bool usable(const Machine& machine, Instant now) const;
@@ -247,6 +248,7 @@
   [[nodiscard]] Millis lag(const Job& job) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
   void plan_job(Job& job, Instant now);
+  [[nodiscard]] std::vector<plan::Place> places_for(const Job& job, Instant now) const;
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
   [[nodiscard]] bool room_for(const Job& job, const Machine& machine, std::uint32_t count) const;
   [[nodiscard]] bool quota_for(const Job& job, std::uint32_t count) const;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -26,17 +26,17 @@
   return found == types_.end() ? nullptr : &*found;
 }
 
-void Engine::refresh_plan_machine(const Machine& machine) {
+void Engine::refresh_plan_machine(Machine& machine) {
+  if (machine.planned != nullptr && machine.planned->info.ready == machine.ready) return;
   const wire::MachineType* kind = type(machine.type);
   if (kind == nullptr) return;
-  const plan::PlanMachine* known = planner_.machine(machine.id);
-  if (known != nullptr && known->ready == machine.ready) return;
   planner_.set_machine({.id = machine.id,
                         .type = machine.type,
                         .zone = machine.zone,
                         .spot = machine.spot,
                         .capacity = Amounts::from(kind->cpus, kind->gpus, kind->ram_gb),
                         .ready = machine.ready});
+  machine.planned = planner_.node(machine.id);
   plan_wanted_ = true;
 }
 
@@ -85,7 +85,7 @@
 
 void Engine::on_types(const std::vector<wire::MachineType>& types) {
   types_ = types;
-  for (const auto& [unused, machine] : machines_) refresh_plan_machine(machine);
+  for (auto& [unused, machine] : machines_) refresh_plan_machine(machine);
   plan_wanted_ = true;
 }
 
@@ -285,8 +285,7 @@
       continue;
     }
     // Idle machines cost; one that a waiting task is booked on is not idle.
-    const plan::ResourceSet* use = planner_.use_of(id);
-    const bool booked = use != nullptr && !use->of(0).slots().empty();
+    const bool booked = machine.planned != nullptr && !machine.planned->use.of(0).slots().empty();
     if (!idle || booked || machine.state != MachineState::up) {
       machine.idle_since.reset();
     } else if (!machine.idle_since) {
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -104,6 +104,51 @@
   return placed;
 }
 
+// Where the job may run at all, and what each machine has to do before it does.
+std::vector<plan::Place> Engine::places_for(const Job& job, Instant now) const {
+  struct Kind {              // all that depends on the machine's type alone
+    const wire::MachineType* type;
+    bool allowed;
+    bool guards_gpus;        // plain work leaves the room beside its GPUs
+    Amounts offered;
+    Millis fetch;
+  };
+  std::vector<Kind> kinds;
+  for (const wire::MachineType& type : types_) {
+    kinds.push_back({.type = &type,
+                     .allowed = job.spec.types.empty() || std::ranges::find(job.spec.types, type.name) != job.spec.types.end(),
+                     .guards_gpus = job.spec.gpus <= 0 && type.gpus > 0,
+                     .offered = offered(job.spec, type),
+                     .fetch = fetch_time(job.spec, type.name)});
+  }
+  std::vector<plan::Place> places;
+  const Kind* kind = nullptr;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.planned == nullptr || (machine.spot && !job.spec.spot)) continue;
+    const bool booting = machine.state == MachineState::booting;
+    if (!booting && !usable(machine, now)) continue;
+    if (!job.spec.zone.empty() && job.spec.zone != machine.zone) continue;
+    if (kind == nullptr || kind->type->name != machine.type) {
+      const auto found = std::ranges::find(kinds, machine.type, [](const Kind& one) { return one.type->name; });
+      if (found == kinds.end()) continue;
+      kind = &*found;
+    }
+    if (!kind->allowed || !job.each.fits(kind->offered) || job.failed_on.contains(id)) continue;
+    if (kind->guards_gpus) {
+      Amounts plain = job.each;
+      for (const TaskKey& key : machine.runs) {
+        const Job& other = jobs_.at(key.job);
+        if (other.spec.gpus <= 0) plain += other.each;
+      }
+      if (!plain.fits(kind->offered)) continue;
+    }
+    Millis before = machine.images.contains(job.spec.image) ? Millis(0) : kind->fetch;
+    if (booting && machine.ready < now) before = kind->fetch + boot_left(machine, now);
+    places.push_back({.node = machine.planned, .before = before});
+  }
+  return places;
+}
+
 void Engine::plan_job(Job& job, Instant now) {
   // A gang begins again only when nothing of its earlier attempt is left.
   const bool gang = job.spec.kind == wire::JobKind::gang;
@@ -118,6 +163,7 @@
   request.one_zone = job.spec.one_zone;
   if (job.spec.spread) request.zone_most = (job.spec.tasks + 1) / 2;
   for (const Part& part : job.parts) {
+    if (!job.spec.spread && !job.spec.one_zone) break;
     for (const auto& [unused, run] : part.runs) {
       const auto machine = machines_.find(run.machine);
       if (machine == machines_.end()) continue;
@@ -125,29 +171,12 @@
       if (job.spec.one_zone) request.zone_bound = machine->second.zone;
     }
   }
-  request.suits = [&](const plan::PlanMachine& info) -> std::optional<Millis> {
-    const Machine& machine = machines_.at(info.id);
-    if (!allows(job.spec, info.type, info.zone, info.spot)) return std::nullopt;
-    if (job.failed_on.contains(info.id)) return std::nullopt;
-    if (job.spec.gpus <= 0 && info.capacity.of[1] > 0) {
-      Amounts plain = job.each;
-      for (const TaskKey& key : machine.runs) {
-        const Job& other = jobs_.at(key.job);
-        if (other.spec.gpus <= 0) plain += other.each;
-      }
-      const wire::MachineType* kind = type(info.type);
-      if (kind == nullptr || !plain.fits(offered(job.spec, *kind))) return std::nullopt;
-    }
-    if (machine.state != MachineState::booting && !usable(machine, now)) return std::nullopt;
-    if (machine.state == MachineState::booting && machine.ready < now) {
-      return fetch_time(job.spec, info.type) + boot_left(machine, now);
-    }
-    return machine.images.contains(job.spec.image) ? Millis(0) : fetch_time(job.spec, info.type);
-  };
+  request.places = places_for(job, now);
   std::vector<plan::Placing> placings = planner_.plan(request);
   if (placings.empty() && !job.failed_on.empty()) {
     // It is kept off the machines that it failed on only as long as there are others.
     job.failed_on.clear();
+    request.places = places_for(job, now);
     placings = planner_.plan(request);
   }
   std::uint32_t planned = 0;
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -160,11 +160,10 @@
   for (const auto& [id, machine] : machines_) {
     if (machine.state != MachineState::booting && !usable(machine, now)) continue;
     const wire::MachineType* kind = type(machine.type);
-    const plan::ResourceSet* use = planner_.use_of(id);
-    if (kind == nullptr || use == nullptr || !allows(spec, machine.type, machine.zone, machine.spot)) continue;
+    if (kind == nullptr || machine.planned == nullptr || !allows(spec, machine.type, machine.zone, machine.spot)) continue;
     if (each.count_in(offered(spec, *kind)) <= 0) continue;
     const Instant from = std::max(now, machine.ready);
-    const std::int64_t fit = each.count_in(use->free(from, from + constants::kAllocationLimit));
+    const std::int64_t fit = each.count_in(machine.planned->use.free(from, from + constants::kAllocationLimit));
     if (fit <= 0) continue;
     const double hourly = machine.spot ? kind->spot_price : kind->price;
     found.push_back({.price = hourly / static_cast<double>(fit), .machine = id, .fit = fit});
--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
+#include <numeric>
+#include <span>
 #include <tuple>
 
 namespace foxshunt::plan {
@@ -15,6 +16,60 @@
   return when >= kForever - duration ? kForever : when + duration;
 }
 
+bool lasts(const Span& span, Millis duration) {
+  return span.stop == kForever || span.stop - span.start >= duration;
+}
+
+// Longest spans within [from, to) in which every vector that is there has its amount free, if they last: the
+// paper's intersection of the resources' free slots, in a single sweep.
+Spans spans_of(const std::array<const UsageVector*, kResources>& vectors, const Amounts& amounts, Millis duration,
+               Instant from, Instant to) {
+  Spans found;
+  std::array<std::span<const Slot>, kResources> left;
+  for (std::size_t r = 0; r < kResources; ++r) {
+    if (vectors[r] == nullptr) continue;
+    if (amounts.of[r] > vectors[r]->available()) return found;
+    const std::vector<Slot>& slots = vectors[r]->slots();
+    const auto first = std::ranges::upper_bound(slots, from, {}, &Slot::stop);
+    left[r] = {first, slots.end()};
+  }
+  Instant cursor = from;
+  while (cursor < to) {
+    // The next slot of any resource that leaves too little.
+    Span taken{to, to};
+    for (std::size_t r = 0; r < kResources; ++r) {
+      if (vectors[r] == nullptr) continue;
+      const Items most_used = vectors[r]->available() - amounts.of[r];
+      while (!left[r].empty() && (left[r].front().stop <= cursor || left[r].front().items <= most_used)) {
+        left[r] = left[r].subspan(1);
+      }
+      if (!left[r].empty() && left[r].front().start < taken.start) taken = {left[r].front().start, left[r].front().stop};
+    }
+    if (taken.start > cursor) {
+      const Span free{cursor, taken.start};
+      if (lasts(free, duration)) found.push_back(free);
+    }
+    cursor = taken.stop;
+  }
+  return found;
+}
+
+// Where the two first have `duration` in common.
+std::optional<Instant> first_common(const Spans& left, const Spans& right, Millis duration) {
+  auto a = left.begin();
+  auto b = right.begin();
+  while (a != left.end() && b != right.end()) {
+    const Span both{std::max(a->start, b->start), std::min(a->stop, b->stop)};
+    if (both.start < both.stop && lasts(both, duration)) return both.start;
+    if (a->stop < b->stop) {
+      ++a;
+    } else {
+      ++b;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 Amounts Amounts::from(double cpus, double gpus, double ram_gb) {
@@ -72,12 +127,10 @@
   for (std::size_t r = 0; r < kResources; ++r) vectors_[r].subtract({start, stop, amounts.of[r]});
 }
 
-FreeSlots ResourceSet::free_slots(const Amounts& amounts, Millis duration, Instant from, Instant to) const {
-  FreeSlots found{{from, to, std::numeric_limits<Items>::max()}};
-  for (std::size_t r = 0; r < kResources && !found.empty(); ++r) {
-    if (amounts.of[r] > 0) found = intersect(found, vectors_[r].free_slots(amounts.of[r], duration, from, to), duration);
-  }
-  return found;
+Spans ResourceSet::free_spans(const Amounts& amounts, Millis duration, Instant from, Instant to) const {
+  std::array<const UsageVector*, kResources> vectors{};
+  for (std::size_t r = 0; r < kResources; ++r) vectors[r] = amounts.of[r] > 0 ? &vectors_[r] : nullptr;
+  return spans_of(vectors, amounts, duration, from, to);
 }
 
 Amounts ResourceSet::free(Instant from, Instant to) const {
@@ -92,40 +145,43 @@
 
 void Planner::set_team(const std::string& team, const TeamLimit& limit) { limits_[team] = limit; }
 
+std::size_t Planner::zone_number(const std::string& zone) {
+  const auto known = std::ranges::find(zones_, zone);
+  if (known != zones_.end()) return static_cast<std::size_t>(known - zones_.begin());
+  zones_.push_back(zone);
+  return zones_.size() - 1;
+}
+
 void Planner::set_machine(const PlanMachine& machine) {
   Amounts total = fleet_.capacity();
-  const auto [entry, fresh] = machines_.try_emplace(machine.id);
+  const auto [entry, fresh] = nodes_.try_emplace(machine.id);
   if (!fresh) total -= entry->second.info.capacity;
   total += machine.capacity;
   entry->second.info = machine;
   entry->second.use.set_capacity(machine.capacity);
+  entry->second.zone = zone_number(machine.zone);
   fleet_.set_capacity(total);
 }
 
 void Planner::remove_machine(const MachineId& machine) {
-  const auto entry = machines_.find(machine);
-  if (entry == machines_.end()) return;
+  const auto entry = nodes_.find(machine);
+  if (entry == nodes_.end()) return;
   Amounts total = fleet_.capacity();
   total -= entry->second.info.capacity;
   fleet_.set_capacity(total);
-  machines_.erase(entry);
+  nodes_.erase(entry);
 }
 
-const PlanMachine* Planner::machine(const MachineId& machine) const {
-  const auto entry = machines_.find(machine);
-  return entry == machines_.end() ? nullptr : &entry->second.info;
-}
-
-const ResourceSet* Planner::use_of(const MachineId& machine) const {
-  const auto entry = machines_.find(machine);
-  return entry == machines_.end() ? nullptr : &entry->second.use;
+const PlanNode* Planner::node(const MachineId& machine) const {
+  const auto entry = nodes_.find(machine);
+  return entry == nodes_.end() ? nullptr : &entry->second;
 }
 
 BookingId Planner::book(const Booking& booking) {
   const BookingId id = next_booking_++;
   fleet_.book(booking.amounts, booking.start, booking.stop);
   teams_[booking.team].book(booking.amounts, booking.start, booking.stop);
-  if (const auto node = machines_.find(booking.machine); node != machines_.end()) {
+  if (const auto node = nodes_.find(booking.machine); node != nodes_.end()) {
     node->second.use.book(booking.amounts, booking.start, booking.stop);
   }
   bookings_.emplace(id, booking);
@@ -138,7 +194,7 @@
   const Booking& booking = entry->second;
   fleet_.revoke(booking.amounts, booking.start, booking.stop);
   teams_[booking.team].revoke(booking.amounts, booking.start, booking.stop);
-  if (const auto node = machines_.find(booking.machine); node != machines_.end()) {
+  if (const auto node = nodes_.find(booking.machine); node != nodes_.end()) {
     node->second.use.revoke(booking.amounts, booking.start, booking.stop);
   }
   bookings_.erase(entry);
@@ -150,7 +206,7 @@
   Booking& booking = entry->second;
   fleet_.book(booking.amounts, booking.stop, stop);
   teams_[booking.team].book(booking.amounts, booking.stop, stop);
-  if (const auto node = machines_.find(booking.machine); node != machines_.end()) {
+  if (const auto node = nodes_.find(booking.machine); node != nodes_.end()) {
     node->second.use.book(booking.amounts, booking.stop, stop);
   }
   booking.stop = stop;
@@ -163,12 +219,12 @@
 
 void Planner::forget_before(Instant when) {
   fleet_.forget_before(when);
-  for (auto& [unused, node] : machines_) node.use.forget_before(when);
+  for (auto& [unused, node] : nodes_) node.use.forget_before(when);
   for (auto& [unused, use] : teams_) use.forget_before(when);
 }
 
 // W = max over resources of (its share of the fleet), times the fleet's cores, plus priority times cores.
-double Planner::weight(const Node& node) const {
+double Planner::weight(const PlanNode& node) const {
   const Amounts total = fleet_.capacity();
   double share = 0;
   for (std::size_t r = 0; r < kResources; ++r) {
@@ -180,110 +236,116 @@
   return share * cores + node.info.priority * cores;
 }
 
-// The paper's uRS and R_freeSlots: the fleet's use plus what is kept free, within the team's limit.
-FreeSlots Planner::fleet_slots(const Request& request, std::int64_t count, const ResourceSet& fleet,
-                               const ResourceSet& team) const {
-  const Amounts need = request.each.times(count);
-  FreeSlots found{{request.from, kForever, std::numeric_limits<Items>::max()}};
+// The paper's uRS: the fleet's use plus what is kept free, within the team's limit.
+Planner::View Planner::view_of(const Request& request) const {
+  static const ResourceSet kUnused;
+  const auto team_entry = teams_.find(request.team);
+  const ResourceSet& team = team_entry == teams_.end() ? kUnused : team_entry->second;
   const auto limit_entry = limits_.find(request.team);
   const TeamLimit limit = limit_entry == limits_.end() ? TeamLimit{} : limit_entry->second;
   const std::array<std::optional<Items>, kResources> limits{limit.cpus, limit.gpus, std::nullopt};
-  for (std::size_t r = 0; r < kResources && !found.empty(); ++r) {
-    if (need.of[r] <= 0) continue;
-    UsageVector view = fleet.of(r);
-    if (request.keep_free.of[r] > 0) view.add({request.from, kForever, request.keep_free.of[r]});
-    if (limits[r]) view = UsageVector::min_free(view, *limits[r], team.of(r));
-    found = intersect(found, view.free_slots(need.of[r], request.duration, request.from, kForever), request.duration);
+  View view;
+  for (std::size_t r = 0; r < kResources; ++r) {
+    if (request.each.of[r] <= 0) continue;
+    if (request.keep_free.of[r] > 0) {
+      UsageVector kept = fleet_.of(r);
+      kept.add({request.from, kForever, request.keep_free.of[r]});
+      view[r] = limits[r] ? UsageVector::min_free(kept, *limits[r], team.of(r)) : std::move(kept);
+    } else {
+      view[r] = limits[r] ? UsageVector::min_free(fleet_.of(r), *limits[r], team.of(r)) : fleet_.of(r);
+    }
   }
-  return found;
+  return view;
+}
+
+std::vector<std::uint32_t> Planner::taken_by_zone(const Request& request) const {
+  std::vector<std::uint32_t> taken(zones_.size(), 0);
+  for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
+    if (const auto entry = request.zone_taken.find(zones_[zone]); entry != request.zone_taken.end()) taken[zone] = entry->second;
+  }
+  return taken;
 }
 
 struct Planner::Candidate {
-  const Node* node = nullptr;
+  const PlanNode* node = nullptr;
   Millis before{};    // fetching
   double weight = 0;
-  FreeSlots slots;    // where one task fits for `before` + duration
+  Spans spans;        // where one task fits for `before` + duration
 };
 
 std::vector<Placing> Planner::plan(const Request& request) const {
   if (request.count == 0) return {};
   std::vector<Candidate> candidates;
-  for (const auto& [unused, node] : machines_) {
+  candidates.reserve(request.places.size());
+  for (const Place& place : request.places) {
+    const PlanNode& node = *place.node;
     if (!request.each.fits(node.info.capacity)) continue;
-    const auto before = request.suits(node.info);
-    if (!before) continue;
     const Instant from = std::max(request.from, node.info.ready);
-    const Millis duration = *before + request.duration;
-    FreeSlots slots = node.use.free_slots(request.each, duration, from, node.info.until);
-    if (slots.empty()) continue;
-    candidates.push_back({.node = &node, .before = *before, .weight = weight(node), .slots = std::move(slots)});
+    Spans spans = node.use.free_spans(request.each, place.before + request.duration, from, node.info.until);
+    if (spans.empty()) continue;
+    candidates.push_back({.node = &node, .before = place.before, .weight = weight(node), .spans = std::move(spans)});
   }
   if (candidates.empty()) return {};
-  return request.together ? plan_together(request, candidates) : plan_apart(request, candidates);
+  return request.together ? plan_together(request, candidates) : plan_apart(request, std::move(candidates));
 }
 
-std::vector<Placing> Planner::plan_apart(const Request& request, const std::vector<Candidate>& candidates) const {
-  struct Open {
-    const Candidate* from;
-    FreeSlots slots;
-    std::optional<ResourceSet> use;   // the machine's use with what this call placed
-  };
-  std::vector<Open> open;
-  open.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) open.push_back({.from = &candidate, .slots = candidate.slots, .use = {}});
+std::vector<Placing> Planner::plan_apart(const Request& request, std::vector<Candidate> candidates) const {
+  std::map<const PlanNode*, ResourceSet> uses;   // of machines, with what this call placed
   std::vector<Placing> placed;
   // What this call placed counts against the fleet, the team and the zones at once.
-  ResourceSet fleet = fleet_;
-  ResourceSet team = team_use(request.team);
-  std::map<std::string, std::uint32_t> in_zone = request.zone_taken;
-  std::string zone_bound = request.zone_bound;
+  View view = view_of(request);
+  std::vector<std::uint32_t> in_zone = taken_by_zone(request);
+  std::optional<std::string> zone_bound;
+  if (!request.zone_bound.empty()) zone_bound = request.zone_bound;
   std::uint32_t left = request.count;
   while (left > 0) {
-    const FreeSlots free = fleet_slots(request, 1, fleet, team);
+    std::array<const UsageVector*, kResources> vectors{};
+    for (std::size_t r = 0; r < kResources; ++r) vectors[r] = view[r] ? &*view[r] : nullptr;
+    const Spans free = spans_of(vectors, request.each, request.duration, request.from, kForever);
     if (free.empty()) break;
-    Open* best = nullptr;
+    Candidate* best = nullptr;
     Instant start;
-    std::tuple<Millis::rep, double> best_rank{};
-    for (Open& entry : open) {
-      const PlanMachine& info = entry.from->node->info;
-      if (!zone_bound.empty() && info.zone != zone_bound) continue;
-      if (request.zone_most) {
-        const auto taken = in_zone.find(info.zone);
-        if (taken != in_zone.end() && taken->second >= *request.zone_most) continue;
-      }
-      const FreeSlots both = intersect(entry.slots, free, entry.from->before + request.duration);
-      if (both.empty() || both.front().start > request.to) continue;
+    std::pair<Millis::rep, double> best_rank{};
+    for (Candidate& entry : candidates) {
+      if (entry.spans.empty()) continue;
+      const PlanNode& node = *entry.node;
+      if (zone_bound && node.info.zone != *zone_bound) continue;
+      if (request.zone_most && in_zone[node.zone] >= *request.zone_most) continue;
+      const auto common = first_common(entry.spans, free, entry.before + request.duration);
+      if (!common || *common > request.to) continue;
       // Whole seconds: a start that is a little earlier is not worth a dear machine.
-      const auto runs =
-          std::chrono::floor<std::chrono::seconds>((both.front().start + entry.from->before).time_since_epoch());
-      const std::tuple<Millis::rep, double> rank{runs.count(), entry.from->weight};
+      const auto runs = std::chrono::floor<std::chrono::seconds>((*common + entry.before).time_since_epoch());
+      const std::pair<Millis::rep, double> rank{runs.count(), entry.weight};
       if (best == nullptr || rank < best_rank) {
         best = &entry;
-        start = both.front().start;
+        start = *common;
         best_rank = rank;
       }
     }
     if (best == nullptr) break;
-    const PlanMachine& info = best->from->node->info;
-    const Millis whole = best->from->before + request.duration;
+    const PlanMachine& info = best->node->info;
+    const Millis whole = best->before + request.duration;
     const Instant stop = plus(start, whole);
-    if (!best->use) best->use = best->from->node->use;
-    std::int64_t count = std::min<std::int64_t>(left, request.each.count_in(best->use->free(start, stop)));
-    if (request.zone_most) count = std::min<std::int64_t>(count, *request.zone_most - in_zone[info.zone]);
+    ResourceSet& use = uses.try_emplace(best->node, best->node->use).first->second;
+    std::int64_t count = std::min<std::int64_t>(left, request.each.count_in(use.free(start, stop)));
+    if (request.zone_most) count = std::min<std::int64_t>(count, *request.zone_most - in_zone[best->node->zone]);
+    if (count < 1) break;
     // As many as fleet and team allow at once; one is allowed, it was looked for.
-    Request at_start = request;
-    at_start.from = start;
-    while (count > 1) {
-      const FreeSlots slots = fleet_slots(at_start, count, fleet, team);
-      if (!slots.empty() && slots.front().start == start) break;
-      --count;
+    std::int64_t allowed = count;
+    for (std::size_t r = 0; r < kResources; ++r) {
+      if (!view[r]) continue;
+      const Items room = view[r]->available() - view[r]->peak(start, plus(start, request.duration));
+      allowed = std::min(allowed, room / request.each.of[r]);
     }
-    if (count < 1) break;
-    best->use->book(request.each.times(count), start, stop);
-    best->slots = best->use->free_slots(request.each, whole, std::max(request.from, info.ready), info.until);
-    fleet.book(request.each.times(count), start, stop);
-    team.book(request.each.times(count), start, stop);
-    in_zone[info.zone] += static_cast<std::uint32_t>(count);
+    count = std::max<std::int64_t>(1, allowed);
+    const Amounts taken = request.each.times(count);
+    use.book(taken, start, stop);
+    best->spans = use.free_spans(request.each, whole, std::max(request.from, info.ready), info.until);
+    // Fleet and team grow by the same, and so does what is the larger of them.
+    for (std::size_t r = 0; r < kResources; ++r) {
+      if (view[r]) view[r]->add({start, stop, taken.of[r]});
+    }
+    in_zone[best->node->zone] += static_cast<std::uint32_t>(count);
     if (request.one_zone) zone_bound = info.zone;
     placed.push_back({.machine = info.id, .start = start, .stop = stop, .count = static_cast<std::uint32_t>(count)});
     left -= static_cast<std::uint32_t>(count);
@@ -291,72 +353,97 @@
   return placed;
 }
 
-const ResourceSet& Planner::team_use(const std::string& team) const {
-  static const ResourceSet kUnused;
-  const auto entry = teams_.find(team);
-  return entry == teams_.end() ? kUnused : entry->second;
+// All tasks of a gang at that start on the machines in this order; nothing if they don't fit.
+std::vector<Placing> Planner::map_at(const Request& request, Instant start, const std::vector<const Candidate*>& ranked,
+                                     std::vector<std::uint32_t> in_zone) {
+  std::vector<Placing> placed;
+  std::uint32_t left = request.count;
+  for (const Candidate* candidate : ranked) {
+    const PlanNode& node = *candidate->node;
+    const Instant stop = plus(start, candidate->before + request.duration);
+    const bool fits =
+        std::ranges::any_of(candidate->spans, [&](const Span& span) { return span.start <= start && stop <= span.stop; });
+    if (!fits) continue;
+    std::int64_t count = std::min<std::int64_t>(left, request.each.count_in(node.use.free(start, stop)));
+    if (request.zone_most) {
+      count = std::min<std::int64_t>(count, *request.zone_most - std::min(in_zone[node.zone], *request.zone_most));
+    }
+    if (count <= 0) continue;
+    in_zone[node.zone] += static_cast<std::uint32_t>(count);
+    left -= static_cast<std::uint32_t>(count);
+    placed.push_back({.machine = node.info.id, .start = start, .stop = stop, .count = static_cast<std::uint32_t>(count)});
+    if (left == 0) return placed;
+  }
+  return {};
 }
 
 std::vector<Placing> Planner::plan_together(const Request& request, const std::vector<Candidate>& candidates) const {
-  const FreeSlots free = fleet_slots(request, request.count, fleet_, team_use(request.team));
-  // Where a piece becomes free on some machine, or the fleet has room again, the gang may begin.
-  std::set<Instant> starts;
-  for (const Slot& slot : free) starts.insert(slot.start);
-  for (const Candidate& candidate : candidates) {
-    for (const Slot& slot : candidate.slots) starts.insert(slot.start);
-  }
+  const View view = view_of(request);
+  std::array<const UsageVector*, kResources> vectors{};
+  for (std::size_t r = 0; r < kResources; ++r) vectors[r] = view[r] ? &*view[r] : nullptr;
+  const Spans free = spans_of(vectors, request.each.times(request.count), request.duration, request.from, kForever);
+  if (free.empty()) return {};
+
+  // Where a piece becomes free on some machine, or the fleet has room again, the gang may begin. A zone is looked at
+  // only while its machines could hold the whole gang if each that has room for a piece were empty: a bound that
+  // changes where a machine's span begins and after the last start that fits it.
+  struct Edge {
+    Instant at;
+    bool ends = false;
+    std::int64_t pieces = 0;
+    std::size_t zone = 0;
+  };
+  std::vector<Edge> edges;
+  std::vector<Instant> starts;
+  std::vector<std::vector<const Candidate*>> in_zone(zones_.size());
   std::vector<const Candidate*> ranked;
   for (const Candidate& candidate : candidates) ranked.push_back(&candidate);
-  std::ranges::sort(ranked, [](const Candidate* a, const Candidate* b) {
-    return std::tie(a->weight, a->before, a->node->info.id) < std::tie(b->weight, b->before, b->node->info.id);
-  });
-  std::set<std::string> zones;
-  for (const Candidate& candidate : candidates) zones.insert(candidate.node->info.zone);
-
+  // Equals stay in the order of their names.
+  std::ranges::stable_sort(ranked, {}, [](const Candidate* one) { return std::pair(one->weight, one->before); });
+  for (const Candidate* candidate : ranked) {
+    const std::size_t zone = candidate->node->zone;
+    if (request.one_zone && !request.zone_bound.empty() && candidate->node->info.zone != request.zone_bound) continue;
+    in_zone[zone].push_back(candidate);
+    const std::int64_t pieces = request.each.count_in(candidate->node->info.capacity);
+    for (const Span& span : candidate->spans) {
+      edges.push_back({.at = span.start, .ends = false, .pieces = pieces, .zone = zone});
+      if (span.stop == kForever) continue;
+      edges.push_back({.at = span.stop - (candidate->before + request.duration), .ends = true, .pieces = pieces, .zone = zone});
+    }
+  }
+  for (const Span& span : free) starts.push_back(span.start);
+  for (const Candidate& candidate : candidates) {
+    for (const Span& span : candidate.spans) starts.push_back(span.start);
+  }
+  std::ranges::sort(starts);
+  starts.erase(std::ranges::unique(starts).begin(), starts.end());
+  // At a start that is the last of a span the span still counts.
+  std::ranges::sort(edges, {}, [](const Edge& edge) { return std::pair(edge.at, edge.ends); });
+  std::vector<std::size_t> zone_order(zones_.size());
+  for (std::size_t zone = 0; zone < zone_order.size(); ++zone) zone_order[zone] = zone;
+  std::ranges::sort(zone_order, {}, [this](std::size_t zone) { return zones_[zone]; });
+
+  const std::vector<std::uint32_t> taken = taken_by_zone(request);
+  std::vector<std::int64_t> bound(zones_.size(), 0);
+  auto edge = edges.begin();
+  auto span = free.begin();
   for (const Instant start : starts) {
     if (start > request.to) break;
-    const bool fleet_free = std::ranges::any_of(free, [&](const Slot& slot) {
-      return slot.start <= start && (slot.stop == kForever || slot.stop >= plus(start, request.duration));
-    });
-    if (!fleet_free) continue;
-    const auto fit = [&](const Candidate& candidate) -> std::int64_t {
-      if (candidate.node->info.ready > start) return 0;
-      const Instant stop = plus(start, candidate.before + request.duration);
-      if (stop > candidate.node->info.until) return 0;
-      return request.each.count_in(candidate.node->use.free(start, stop));
-    };
-    const auto map_in = [&](const std::string* zone) {
-      std::vector<Placing> placed;
-      std::map<std::string, std::uint32_t> in_zone = request.zone_taken;
-      std::uint32_t left = request.count;
-      for (const Candidate* candidate : ranked) {
-        if (left == 0) break;
-        const PlanMachine& info = candidate->node->info;
-        if (zone != nullptr && info.zone != *zone) continue;
-        std::int64_t count = std::min<std::int64_t>(left, fit(*candidate));
-        if (request.zone_most) {
-          const std::uint32_t taken = in_zone[info.zone];
-          count = std::min<std::int64_t>(count, taken >= *request.zone_most ? 0 : *request.zone_most - taken);
-        }
-        if (count <= 0) continue;
-        in_zone[info.zone] += static_cast<std::uint32_t>(count);
-        left -= static_cast<std::uint32_t>(count);
-        placed.push_back({.machine = info.id,
-                          .start = start,
-                          .stop = plus(start, candidate->before + request.duration),
-                          .count = static_cast<std::uint32_t>(count)});
+    for (; edge != edges.end() && (edge->at < start || (edge->at == start && !edge->ends)); ++edge) {
+      bound[edge->zone] += edge->ends ? -edge->pieces : edge->pieces;
+    }
+    while (span != free.end() && span->stop <= start) ++span;
+    if (span == free.end()) break;
+    if (span->start > start || !lasts({start, span->stop}, request.duration)) continue;
+    if (request.one_zone) {
+      for (const std::size_t zone : zone_order) {
+        if (bound[zone] < request.count) continue;
+        if (auto placed = map_at(request, start, in_zone[zone], taken); !placed.empty()) return placed;
       }
-      if (left > 0) placed.clear();
-      return placed;
-    };
-    if (!request.one_zone) {
-      if (auto placed = map_in(nullptr); !placed.empty()) return placed;
       continue;
     }
-    for (const std::string& zone : zones) {
-      if (!request.zone_bound.empty() && zone != request.zone_bound) continue;
-      if (auto placed = map_in(&zone); !placed.empty()) return placed;
-    }
+    if (std::accumulate(bound.begin(), bound.end(), std::int64_t{0}) < request.count) continue;
+    if (auto placed = map_at(request, start, ranked, taken); !placed.empty()) return placed;
   }
   return {};
 }
--- a/src/plan/planner.h
+++ b/src/plan/planner.h
@@ -5,9 +5,9 @@
 
 #include <array>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +33,14 @@
   friend bool operator==(const Amounts&, const Amounts&) = default;
 };
 
+// [start, stop)
+struct Span {
+  Instant start;
+  Instant stop;
+  friend bool operator==(const Span&, const Span&) = default;
+};
+using Spans = std::vector<Span>;
+
 // One UsageVector a resource (the paper's sRS, nRS and usdRS).
 class ResourceSet {
  public:
@@ -46,7 +54,7 @@
   [[nodiscard]] const UsageVector& of(std::size_t resource) const { return vectors_[resource]; }
   UsageVector& of(std::size_t resource) { return vectors_[resource]; }
   // Intervals in which the amounts are free for the duration (the intersection over the resources).
-  [[nodiscard]] FreeSlots free_slots(const Amounts& amounts, Millis duration, Instant from, Instant to) const;
+  [[nodiscard]] Spans free_spans(const Amounts& amounts, Millis duration, Instant from, Instant to) const;
   [[nodiscard]] Amounts free(Instant from, Instant to) const;
   void forget_before(Instant when);
 
@@ -81,6 +89,19 @@
 
 using BookingId = std::uint64_t;
 
+// A machine as the planner has it, and its use. A pointer to it holds until the machine is removed.
+struct PlanNode {
+  PlanMachine info;
+  ResourceSet use;
+  std::size_t zone = 0;   // the planner's number of info.zone
+};
+
+// Where a job may run, and what it has to do there before it runs (image fetch).
+struct Place {
+  const PlanNode* node = nullptr;
+  Millis before{};
+};
+
 struct Request {
   std::string team;
   Amounts each;                 // of one task
@@ -94,8 +115,7 @@
   std::optional<std::uint32_t> zone_most;               // of the job's tasks in one zone (spread)
   std::map<std::string, std::uint32_t> zone_taken;      // tasks of the job that have their place already
   Amounts keep_free;            // of the fleet, for others (the paper's FreePool)
-  // Whether the job may run there at all, and what it has to do there before it runs (image fetch).
-  std::function<std::optional<Millis>(const PlanMachine&)> suits;
+  std::vector<Place> places;    // in the order of the machines' names
 };
 
 struct Placing {
@@ -111,10 +131,10 @@
 
   void set_machine(const PlanMachine& machine);   // new or changed
   void remove_machine(const MachineId& machine);  // its bookings must have been revoked
-  [[nodiscard]] const PlanMachine* machine(const MachineId& machine) const;
-  [[nodiscard]] const ResourceSet* use_of(const MachineId& machine) const;
+  // Nothing if there is no such machine.
+  [[nodiscard]] const PlanNode* node(const MachineId& machine) const;
+  [[nodiscard]] const std::map<MachineId, PlanNode>& nodes() const { return nodes_; }
   [[nodiscard]] const ResourceSet& fleet() const { return fleet_; }
-  [[nodiscard]] std::size_t machines() const { return machines_.size(); }
 
   // Where and when the tasks could run; fewer than asked when the rest has no slot. Books nothing.
   [[nodiscard]] std::vector<Placing> plan(const Request& request) const;
@@ -127,22 +147,25 @@
   void forget_before(Instant when);
 
  private:
-  struct Node {
-    PlanMachine info;
-    ResourceSet use;
-  };
   struct Candidate;
+  // What is used of the fleet as a team sees it, for the resources that a task takes (the paper's uRS).
+  using View = std::array<std::optional<UsageVector>, kResources>;
 
-  [[nodiscard]] FreeSlots fleet_slots(const Request& request, std::int64_t count, const ResourceSet& fleet,
-                                      const ResourceSet& team) const;
-  [[nodiscard]] const ResourceSet& team_use(const std::string& team) const;
-  [[nodiscard]] double weight(const Node& node) const;
-  [[nodiscard]] std::vector<Placing> plan_apart(const Request& request, const std::vector<Candidate>& candidates) const;
+  [[nodiscard]] View view_of(const Request& request) const;
+  [[nodiscard]] double weight(const PlanNode& node) const;
+  [[nodiscard]] std::vector<Placing> plan_apart(const Request& request, std::vector<Candidate> candidates) const;
   [[nodiscard]] std::vector<Placing> plan_together(const Request& request,
                                                    const std::vector<Candidate>& candidates) const;
+  [[nodiscard]] static std::vector<Placing> map_at(const Request& request, Instant start,
+                                                   const std::vector<const Candidate*>& ranked,
+                                                   std::vector<std::uint32_t> in_zone);
+  // Of the job's tasks, how many each zone has already.
+  [[nodiscard]] std::vector<std::uint32_t> taken_by_zone(const Request& request) const;
+  [[nodiscard]] std::size_t zone_number(const std::string& zone);
 
   ResourceSet fleet_;
-  std::map<MachineId, Node> machines_;
+  std::map<MachineId, PlanNode> nodes_;
+  std::vector<std::string> zones_;
   std::map<std::string, TeamLimit> limits_;
   std::map<std::string, ResourceSet> teams_;
   std::unordered_map<BookingId, Booking> bookings_;
--- a/src/plan/usage_vector.cpp
+++ b/src/plan/usage_vector.cpp
@@ -106,22 +106,30 @@
   // is the larger of used and available - limit + limited use.
   const Items base = system.available() - limit;
   UsageVector result(system.available());
-  std::vector<Instant> edges;
-  if (base > 0) edges.push_back(Instant::min());
-  for (const UsageVector* vector : {&system, &limited_use}) {
-    for (const Slot& slot : vector->slots_) {
-      edges.push_back(slot.start);
-      edges.push_back(slot.stop);
+  result.slots_.reserve(2 * (system.slots_.size() + limited_use.slots_.size()) + 1);
+  auto a = system.slots_.begin();
+  auto b = limited_use.slots_.begin();
+  const auto a_end = system.slots_.end();
+  const auto b_end = limited_use.slots_.end();
+  Instant cursor = Instant::min();
+  while (cursor < kForever) {
+    while (a != a_end && a->stop <= cursor) ++a;
+    while (b != b_end && b->stop <= cursor) ++b;
+    const bool in_a = a != a_end && a->start <= cursor;
+    const bool in_b = b != b_end && b->start <= cursor;
+    Instant next = kForever;
+    if (a != a_end) next = std::min(next, in_a ? a->stop : a->start);
+    if (b != b_end) next = std::min(next, in_b ? b->stop : b->start);
+    const Items used = std::max(in_a ? a->items : 0, base + (in_b ? b->items : 0));
+    if (used > 0) {
+      if (!result.slots_.empty() && result.slots_.back().stop == cursor && result.slots_.back().items == used) {
+        result.slots_.back().stop = next;
+      } else {
+        result.slots_.push_back({cursor, next, used});
+      }
     }
+    cursor = next;
   }
-  std::ranges::sort(edges);
-  edges.erase(std::ranges::unique(edges).begin(), edges.end());
-  for (std::size_t at = 0; at < edges.size() && edges[at] != kForever; ++at) {
-    const Instant stop = at + 1 < edges.size() ? edges[at + 1] : kForever;
-    const Items used = std::max(system.used_at(edges[at]), base + limited_use.used_at(edges[at]));
-    if (used > 0) result.slots_.push_back({edges[at], stop, used});
-  }
-  result.tidy(0, result.slots_.size());
   return result;
 }
 
--- /dev/null
+++ b/tests/bench/benchmarks.cpp
@@ -0,0 +1,169 @@
+// What the leader's duties cost, by time and by work that repeats (allocations). Not part of any test's verdict:
+// build with -DFOXSHUNT_TESTS=ON and run target/tests/benchmarks.
+#include <benchmark/benchmark.h>
+#include <spdlog/spdlog.h>
+
+#include "bench/allocations.h"
+#include "bench/busy_fleet.h"
+#include "net/http.h"
+#include "state/records.h"
+
+namespace foxshunt::bench {
+namespace {
+
+// Counts allocations an iteration while it lives.
+class Counted {
+ public:
+  explicit Counted(benchmark::State& state) : state_(state) {}
+  void begin() { before_ = allocations(); }
+  void end() { sum_ += allocations() - before_; }
+  ~Counted() {
+    state_.counters["allocations"] = benchmark::Counter(static_cast<double>(sum_), benchmark::Counter::kAvgIterations);
+  }
+
+ private:
+  benchmark::State& state_;
+  std::uint64_t before_ = 0;
+  std::uint64_t sum_ = 0;
+};
+
+void usage_vector(benchmark::State& state) {
+  plan::UsageVector vector(100'000);
+  const plan::Instant zero{};
+  for (int i = 0; i < state.range(0); ++i) {
+    vector.add({zero + plan::Millis(i * 700 % 50'000), zero + plan::Millis(i * 700 % 50'000 + 9'000), 1 + i % 5});
+  }
+  Counted counted(state);
+  for (auto unused : state) {
+    counted.begin();
+    vector.add({zero + plan::Millis(20'000), zero + plan::Millis(29'000), 7});
+    benchmark::DoNotOptimize(vector.free_slots(50, plan::Millis(5'000), zero, plan::kForever));
+    vector.subtract({zero + plan::Millis(20'000), zero + plan::Millis(29'000), 7});
+    counted.end();
+  }
+  state.counters["slots"] = static_cast<double>(vector.slots().size());
+}
+BENCHMARK(usage_vector)->Arg(10)->Arg(200);
+
+// A pass over a long queue in which nothing has happened but the time, and one after a job has ended.
+void plan_pass(benchmark::State& state) {
+  BusyFleet fleet(260, static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(0)));
+  fleet.pass();
+  fleet.report_all();
+  fleet.pass();
+  Counted counted(state);
+  for (auto unused : state) {
+    state.PauseTiming();
+    fleet.advance(plan::Millis(200));
+    if (state.range(1) != 0) {
+      fleet.end_one();
+      fleet.add_job(true);
+    }
+    fleet.report_all();
+    state.ResumeTiming();
+    counted.begin();
+    fleet.pass();
+    counted.end();
+  }
+  state.counters["jobs"] = static_cast<double>(fleet.engine().jobs().size());
+}
+BENCHMARK(plan_pass)->Args({20, 0})->Args({40, 0})->Args({20, 1})->Args({40, 1})->Iterations(100)->Unit(benchmark::kMicrosecond);
+
+// From a report's bytes to the bytes of its answer.
+void report(benchmark::State& state) {
+  BusyFleet fleet(260, 40, 40);
+  fleet.pass();
+  fleet.report_all();
+  std::string bytes;
+  Counted counted(state);
+  std::size_t at = 0;
+  for (auto unused : state) {
+    state.PauseTiming();
+    bytes = wire::encode(wire::to_value(fleet.report_of(fleet.machines()[at++ % fleet.machines().size()])));
+    state.ResumeTiming();
+    counted.begin();
+    const wire::Report report = wire::report_from(wire::decode(bytes));
+    const auto commands = fleet.engine().on_report(report, fleet.now());
+    benchmark::DoNotOptimize(wire::encode(wire::report_answer(fleet.engine().term(), *commands)));
+    counted.end();
+  }
+}
+BENCHMARK(report);
+
+void tick(benchmark::State& state) {
+  BusyFleet fleet(260, 40, 40);
+  fleet.pass();
+  fleet.report_all();
+  Counted counted(state);
+  for (auto unused : state) {
+    counted.begin();
+    fleet.engine().tick(fleet.now());
+    counted.end();
+  }
+}
+BENCHMARK(tick);
+
+state::JobRecord record_of(std::uint32_t tasks) {
+  wire::JobSpec spec;
+  spec.id = JobId("j-000001");
+  spec.job_class = "work";
+  spec.team = "red";
+  spec.tasks = tasks;
+  spec.cpus = 5;
+  spec.image = "img";
+  state::JobRecord record = state::new_job(spec, 1'800'000'000'000);
+  for (std::uint32_t index = 0; index < tasks; index += 2) {
+    record.whole->runs.push_back({.index = index, .attempt = AttemptNo(2), .machine = MachineId("m-000123"), .session = SessionNo(1)});
+  }
+  return record;
+}
+
+void record_encode(benchmark::State& state) {
+  const state::JobRecord record = record_of(static_cast<std::uint32_t>(state.range(0)));
+  Counted counted(state);
+  for (auto unused : state) {
+    counted.begin();
+    benchmark::DoNotOptimize(wire::encode(state::to_value(record)));
+    counted.end();
+  }
+}
+BENCHMARK(record_encode)->Arg(8)->Arg(100);
+
+void record_decode(benchmark::State& state) {
+  const std::string bytes = wire::encode(state::to_value(record_of(static_cast<std::uint32_t>(state.range(0)))));
+  Counted counted(state);
+  for (auto unused : state) {
+    counted.begin();
+    benchmark::DoNotOptimize(state::job_from(wire::decode(bytes)));
+    counted.end();
+  }
+  state.counters["bytes"] = static_cast<double>(bytes.size());
+}
+BENCHMARK(record_decode)->Arg(8)->Arg(100);
+
+// One exchange over loopback on a connection that stays open; both ends are counted.
+void http_exchange(benchmark::State& state) {
+  net::HttpServer server({"127.0.0.1", 0}, 10, [](const net::HttpRequest& request) {
+    return net::HttpResponse{.status = 200, .body = request.body, .retry_after_s = {}};
+  });
+  net::HttpClient client(server.address(), std::chrono::seconds(1));
+  const std::string body(300, 'x');
+  Counted counted(state);
+  for (auto unused : state) {
+    counted.begin();
+    benchmark::DoNotOptimize(client.call({.method = "POST", .path = "/checkin", .body = body}, net::Clock::now() + std::chrono::seconds(5)));
+    counted.end();
+  }
+}
+BENCHMARK(http_exchange)->MeasureProcessCPUTime();
+
+}  // namespace
+}  // namespace foxshunt::bench
+
+int main(int argc, char** argv) {
+  spdlog::set_level(spdlog::level::err);
+  benchmark::Initialize(&argc, argv);
+  if (benchmark::ReportUnrecognizedArguments(argc, argv)) return 2;
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
+#include "unit/plain_planner.h"
+
 namespace foxshunt::plan {
 namespace {
 
@@ -18,10 +22,17 @@
   asked.count = count;
   asked.duration = std::chrono::seconds(duration_s);
   asked.from = at(0);
-  asked.suits = [](const PlanMachine&) { return Millis(0); };
   return asked;
 }
 
+// On all machines, which need no image.
+std::vector<Placing> plan(const Planner& planner, Request asked) {
+  if (asked.places.empty()) {
+    for (const auto& [unused, node] : planner.nodes()) asked.places.push_back({.node = &node, .before = Millis(0)});
+  }
+  return planner.plan(asked);
+}
+
 std::uint32_t total(const std::vector<Placing>& placings) {
   std::uint32_t sum = 0;
   for (const Placing& placing : placings) sum += placing.count;
@@ -31,7 +42,7 @@
 TEST(Planner, TasksThatDoNotFitNowAreBookedBehindOthers) {
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0));
-  const auto placings = planner.plan(request(4, 5, 10));
+  const auto placings = plan(planner, request(4, 5, 10));
   ASSERT_EQ(total(placings), 5U);
   EXPECT_EQ(placings[0].start, at(0));
   EXPECT_EQ(placings[0].count, 2U);
@@ -43,15 +54,15 @@
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0));
   planner.book({.machine = MachineId("m-1"), .team = "blue", .amounts = Amounts::from(8, 0, 1), .start = at(20), .stop = at(50)});
-  EXPECT_EQ(planner.plan(request(8, 1, 20)).front().start, at(0));
-  EXPECT_EQ(planner.plan(request(8, 1, 21)).front().start, at(50));
+  EXPECT_EQ(plan(planner, request(8, 1, 20)).front().start, at(0));
+  EXPECT_EQ(plan(planner, request(8, 1, 21)).front().start, at(50));
 }
 
 TEST(Planner, MachinesWithScarceResourcesRankLast) {
   Planner planner;
   planner.set_machine(machine("m-1", 8, 4));   // all GPUs of the fleet: weight 1
   planner.set_machine(machine("m-2", 8, 0));
-  EXPECT_EQ(planner.plan(request(4, 1, 10)).front().machine, MachineId("m-2"));
+  EXPECT_EQ(plan(planner, request(4, 1, 10)).front().machine, MachineId("m-2"));
 }
 
 TEST(Planner, PriorityOfAMachineOutranksItsShare) {
@@ -60,7 +71,7 @@
   PlanMachine last = machine("m-2", 8, 0);
   last.priority = 1;
   planner.set_machine(last);
-  EXPECT_EQ(planner.plan(request(4, 1, 10)).front().machine, MachineId("m-1"));
+  EXPECT_EQ(plan(planner, request(4, 1, 10)).front().machine, MachineId("m-1"));
 }
 
 TEST(Planner, TeamLimitHoldsAtEveryMoment) {
@@ -68,7 +79,7 @@
   planner.set_machine(machine("m-1", 16, 0));
   planner.set_team("red", {.cpus = 8000, .gpus = std::nullopt});
   planner.book({.machine = MachineId("m-1"), .team = "red", .amounts = Amounts::from(4, 0, 1), .start = at(5), .stop = at(15)});
-  const auto placings = planner.plan(request(4, 3, 10));
+  const auto placings = plan(planner, request(4, 3, 10));
   ASSERT_EQ(total(placings), 3U);
   std::map<Instant, int> starts;
   for (const Placing& placing : placings) starts[placing.start] += static_cast<int>(placing.count);
@@ -82,7 +93,7 @@
   planner.set_machine(machine("m-1", 8, 0));
   Request asked = request(4, 2, 10);
   asked.keep_free = Amounts::from(4, 0, 0);
-  const auto placings = planner.plan(asked);
+  const auto placings = plan(planner, asked);
   ASSERT_EQ(placings.size(), 2U);
   EXPECT_EQ(placings[1].start, at(10));
 }
@@ -90,7 +101,7 @@
 TEST(Planner, BootingMachineIsBookedFromWhenItIsReady) {
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0, "a", 30));
-  EXPECT_EQ(planner.plan(request(4, 1, 10)).front().start, at(30));
+  EXPECT_EQ(plan(planner, request(4, 1, 10)).front().start, at(30));
 }
 
 TEST(Planner, FetchingCountsWhenMachinesAreCompared) {
@@ -98,8 +109,9 @@
   planner.set_machine(machine("m-1", 8, 0));
   planner.set_machine(machine("m-2", 16, 0));
   Request asked = request(4, 1, 10);
-  asked.suits = [](const PlanMachine& info) { return Millis(info.id == MachineId("m-1") ? 9000 : 0); };
-  EXPECT_EQ(planner.plan(asked).front().machine, MachineId("m-2"));
+  asked.places = {{.node = planner.node(MachineId("m-1")), .before = Millis(9000)},
+                  {.node = planner.node(MachineId("m-2")), .before = Millis(0)}};
+  EXPECT_EQ(plan(planner, asked).front().machine, MachineId("m-2"));
 }
 
 TEST(Planner, GangIsPlannedWhenAllItsTasksFit) {
@@ -109,15 +121,15 @@
   planner.book({.machine = MachineId("m-2"), .team = "blue", .amounts = Amounts::from(8, 0, 1), .start = at(0), .stop = at(40)});
   Request asked = request(4, 4, 10);
   asked.together = true;
-  const auto placings = planner.plan(asked);
+  const auto placings = plan(planner, asked);
   ASSERT_EQ(total(placings), 4U);
   for (const Placing& placing : placings) EXPECT_EQ(placing.start, at(40));
   asked.one_zone = true;
-  EXPECT_TRUE(planner.plan(asked).empty());
+  EXPECT_TRUE(plan(planner, asked).empty());
   asked.count = 2;
-  EXPECT_EQ(planner.plan(asked).front().start, at(0));
+  EXPECT_EQ(plan(planner, asked).front().start, at(0));
   asked.zone_bound = "b";
-  EXPECT_EQ(planner.plan(asked).front().start, at(40));
+  EXPECT_EQ(plan(planner, asked).front().start, at(40));
 }
 
 TEST(Planner, SpreadLimitsEachZone) {
@@ -129,7 +141,7 @@
     asked.together = together;
     asked.zone_most = 3;
     std::map<MachineId, std::uint32_t> by_machine;
-    for (const Placing& placing : planner.plan(asked)) by_machine[placing.machine] += placing.count;
+    for (const Placing& placing : plan(planner, asked)) by_machine[placing.machine] += placing.count;
     EXPECT_LE(by_machine[MachineId("m-1")], 3U);
     EXPECT_LE(by_machine[MachineId("m-2")], 3U);
     EXPECT_EQ(by_machine[MachineId("m-1")] + by_machine[MachineId("m-2")], 5U);
@@ -142,12 +154,82 @@
   const BookingId id = planner.book(
       {.machine = MachineId("m-1"), .team = "red", .amounts = Amounts::from(8, 0, 1), .start = at(0), .stop = at(10)});
   planner.extend(id, at(30));
-  EXPECT_EQ(planner.plan(request(8, 1, 5)).front().start, at(30));
+  EXPECT_EQ(plan(planner, request(8, 1, 5)).front().start, at(30));
   planner.revoke(id);
-  EXPECT_EQ(planner.plan(request(8, 1, 5)).front().start, at(0));
+  EXPECT_EQ(plan(planner, request(8, 1, 5)).front().start, at(0));
   EXPECT_TRUE(planner.fleet().of(0).slots().empty());
-  EXPECT_TRUE(planner.use_of(MachineId("m-1"))->of(0).slots().empty());
+  EXPECT_TRUE(planner.node(MachineId("m-1"))->use.of(0).slots().empty());
 }
 
+// However Planner saves work, it decides what the paper's steps decide.
+class PlannerRandom : public testing::TestWithParam<unsigned> {};
+
+TEST_P(PlannerRandom, DecidesAsThePlainSteps) {
+  std::mt19937 random(GetParam());
+  const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
+  Planner planner;
+  PlainPlanner plain;
+  for (const char* team : {"red", "blue"}) {
+    TeamLimit limit;
+    if (pick(0, 2) > 0) limit.cpus = pick(20, 160) * 1000;
+    if (pick(0, 2) > 0) limit.gpus = pick(2, 12) * 1000;
+    planner.set_team(team, limit);
+    plain.set_team(team, limit);
+  }
+  std::vector<PlanMachine> machines;
+  const int count = pick(1, 14);
+  for (int i = 0; i < count; ++i) {
+    const bool gpus = pick(0, 2) == 0;
+    PlanMachine one = machine("m-" + std::to_string(10 + i), gpus ? 24 : 16, gpus ? 4 : 0, std::array{"b", "a", "c"}[static_cast<std::size_t>(pick(0, 2))],
+                              pick(0, 3) == 0 ? pick(1, 40) : 0);
+    if (pick(0, 5) == 0) one.until = at(pick(30, 200));
+    if (pick(0, 7) == 0) one.priority = 1;
+    machines.push_back(one);
+    planner.set_machine(one);
+    plain.set_machine(one);
+  }
+  for (int round = 0; round < 30; ++round) {
+    Request asked;
+    asked.team = pick(0, 1) == 0 ? "red" : "blue";
+    const bool gpus = pick(0, 2) == 0;
+    asked.each = Amounts::from(pick(1, gpus ? 6 : 16), gpus ? pick(1, 2) : 0, pick(1, 30));
+    asked.together = pick(0, 1) == 0;
+    asked.count = static_cast<std::uint32_t>(pick(1, asked.together ? 6 : 12));
+    asked.duration = std::chrono::milliseconds(pick(1, 60) * 500);
+    asked.from = at(pick(0, 20));
+    if (pick(0, 3) == 0) asked.to = at(pick(20, 90));
+    asked.one_zone = pick(0, 2) == 0;
+    if (asked.one_zone && pick(0, 3) == 0) asked.zone_bound = pick(0, 1) == 0 ? "a" : "c";
+    if (!asked.one_zone && pick(0, 2) == 0) {
+      asked.zone_most = static_cast<std::uint32_t>(pick(1, 6));
+      asked.zone_taken["a"] = static_cast<std::uint32_t>(pick(0, 3));
+    }
+    if (pick(0, 4) == 0) asked.keep_free = Amounts::from(pick(0, 10), pick(0, 2), 0);
+    std::map<MachineId, Millis> before;
+    for (const auto& [id, node] : planner.nodes()) {
+      if (pick(0, 7) == 0) continue;
+      before[id] = Millis(pick(0, 2) * 1500);
+      asked.places.push_back({.node = &node, .before = before[id]});
+    }
+    const std::vector<Placing> found = planner.plan(asked);
+    const std::vector<Placing> wanted = plain.plan(asked, before);
+    ASSERT_EQ(found.size(), wanted.size()) << "round " << round;
+    for (std::size_t i = 0; i < found.size(); ++i) {
+      ASSERT_EQ(std::tie(found[i].machine, found[i].start, found[i].stop, found[i].count),
+                std::tie(wanted[i].machine, wanted[i].start, wanted[i].stop, wanted[i].count))
+          << "round " << round << ", placing " << i;
+      const Booking booking{.machine = found[i].machine,
+                            .team = asked.team,
+                            .amounts = asked.each.times(found[i].count),
+                            .start = found[i].start,
+                            .stop = found[i].stop};
+      planner.book(booking);
+      plain.book(booking);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PlannerRandom, testing::Range(1U, 201U));
+
 }  // namespace
 }  // namespace foxshunt::plan
