A node that does not lead waits for the lead without waking; halts and cloud calls when wanted

Now the duties sleep until the node leads, the halts are found by the housekeeping that goes over the machines anyway, and the cloud is called when something is wanted of it.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -50,7 +50,7 @@
 inline constexpr milliseconds kLeaderLease = 4s;                // shorter than a restart, longer than a stutter
 inline constexpr milliseconds kLeaderRenew = 1s;                // three renewals may fail before the lease ends
 inline constexpr milliseconds kLeaderWatchHold = 2s;             // its answer also shows that the state is in reach
-inline constexpr milliseconds kKeepLooking = 500ms;             // leader's duties of a node that does not lead
+inline constexpr milliseconds kForGood = 1h;                    // a wait that only a signal ends
 inline constexpr milliseconds kFenceMargin = 2s;                // delay of answers under way, timers that fire late
 
 // ---- peers ----
@@ -61,7 +61,8 @@
 
 // ---- control ----
 inline constexpr milliseconds kShowEvery = 2s;                  // counts shown of a job in parts lag by this at most
-inline constexpr milliseconds kTick = 250ms;                    // housekeeping of the engine
+inline constexpr milliseconds kTick = 250ms;                    // what is due within it counts as due
+inline constexpr milliseconds kHousekeepEvery = 350ms;          // expiries are noticed this late; each look costs
 inline constexpr milliseconds kExpiryMargin = 500ms;            // a worker notices its expiry late by its timers
 inline constexpr milliseconds kAllocationLimit = 10s;           // DESIGN: a start not seen by then is replanned
 inline constexpr milliseconds kPlanHorizon = 1h;                // bookings further away tell nothing
@@ -88,11 +89,13 @@
 inline constexpr milliseconds kReplanEvery = 2s;                // pauses of jobs and supplies end without an event
 inline constexpr milliseconds kPlanPause = 100ms;               // between passes; what came meanwhile is planned at once
 inline constexpr milliseconds kReportSettle = 600ms;            // an answer awaits the writes that its report caused
+inline constexpr milliseconds kWriteLook = 2s;                  // what wants writing is signalled; a safety net
 inline constexpr milliseconds kWritePause = 15ms;               // gathers changes for one transaction
 inline constexpr milliseconds kHaltCallLimit = 3s;              // a silent worker delays only its own halts
 
 // ---- cloud ----
 inline constexpr milliseconds kCloudCallLimit = 5s;             // rentals take a fraction of a second
+inline constexpr milliseconds kCloudLook = 500ms;               // between tries while something is wanted of the cloud
 inline constexpr milliseconds kListEvery = 4s;                  // the list lags by more than this anyway
 inline constexpr milliseconds kTypesEvery = 60s;                // spot prices move slowly
 inline constexpr milliseconds kCloudRetryPause = 2s;            // after a 503 or no answer
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -91,6 +91,7 @@
   Instant last_report;
   bool expired = false;                        // its last known session has certainly ended
   std::set<TaskKey> runs;
+  bool halting = false;                        // some of them may have to be stopped
   bool strangers = false;                      // its newest report has tasks that we didn't place there
   std::set<std::string> images;
   int errors = 0;
@@ -187,6 +188,8 @@
   // Plans what is pending and places what may start now. True when something was placed.
   bool plan_pass(Instant now);
   [[nodiscard]] bool plan_wanted() const { return plan_wanted_; }
+  // Whether there is something to rent or to return.
+  [[nodiscard]] bool cloud_wanted() const;
   [[nodiscard]] bool writes_wanted() const { return !dirty_.empty(); }
 
   [[nodiscard]] const std::map<JobId, Job>& jobs() const { return jobs_; }
@@ -221,6 +224,7 @@
   Run* find_run(const TaskKey& task);
   void prove_gone(Job& job, std::uint32_t index, const char* why, Instant now);
   void halt(Job& job, std::uint32_t index, double grace_s);
+  void know_halting(const MachineId& id);
   void finish_task(Job& job, std::uint32_t index, Instant now);
   void on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now);
   void end_gang(Job& job, Instant now);
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -197,6 +197,12 @@
                request.spot ? ", spot" : "", *supply.most, to_seconds(supply.pause));
 }
 
+bool Engine::cloud_wanted() const {
+  return rental_ || !wanted_.empty() || std::ranges::any_of(machines_, [](const auto& entry) {
+    return entry.second.state == MachineState::returning;
+  });
+}
+
 std::vector<MachineId> Engine::next_returns(Instant now) {
   std::vector<MachineId> names;
   if (!may_start(now)) return names;
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -201,6 +201,7 @@
       if (!run.durable) never_told.push_back(index);
       run.halting = true;
       run.grace_s = 0;
+      know_halting(run.machine);
     }
     for (const std::uint32_t index : never_told) prove_gone(job, index, "never started", now);
   }
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -68,6 +68,11 @@
   if (run == nullptr || (run->halting && run->grace_s <= grace_s)) return;
   run->halting = true;
   run->grace_s = grace_s;
+  know_halting(run->machine);
+}
+
+void Engine::know_halting(const MachineId& id) {
+  if (const auto machine = machines_.find(id); machine != machines_.end()) machine->second.halting = true;
 }
 
 void Engine::end_gang(Job& job, Instant) {
@@ -318,10 +323,12 @@
   std::vector<DirectHalt> due;
   if (!leading_) return due;
   for (auto& [id, machine] : machines_) {
-    if (!machine.reported || machine.address.empty()) continue;
+    if (!machine.halting || !machine.reported || machine.address.empty()) continue;
+    machine.halting = false;
     DirectHalt halts{.machine = id, .address = machine.address, .session = machine.session, .commands = {}};
     for (const TaskKey& key : machine.runs) {
       Run& run = *find_run(key);
+      machine.halting = machine.halting || run.halting;
       if (!run.halting || run.session != machine.session || !run.seen) continue;
       // The answer to the next report tells it too; only what that did not reach is told directly.
       if (run.halt_due == Instant{}) run.halt_due = now + from_seconds(settings_.report_s * 1.5);
--- a/src/node/cloud.cpp
+++ b/src/node/cloud.cpp
@@ -2,9 +2,10 @@
 
 #include <spdlog/spdlog.h>
 
-#include <list>
+#include <algorithm>
 #include <map>
 #include <thread>
+#include <utility>
 
 #include "config/constants.h"
 
@@ -148,16 +149,21 @@
 void CloudDuty::run(const std::stop_token& stop) {
   stop_ = stop;
   while (!stop.stop_requested()) {
-    context_.cloud_signal.wait(stop, constants::kKeepLooking);
+    bool known = false;
+    {
+      const std::lock_guard lock(context_.view_mutex);
+      known = !context_.types.empty();
+    }
     bool leading = false;
+    bool wanted = false;
     {
       const std::lock_guard lock(context_.engine_mutex);
       leading = context_.engine.leading();
+      wanted = leading && context_.engine.cloud_wanted();
     }
-    bool known = false;
-    {
-      const std::lock_guard lock(context_.view_mutex);
-      known = !context_.types.empty();
+    if (!leading && known) {
+      if (!context_.wait_to_lead(stop)) return;
+      continue;
     }
     if (!known) read_types();
     if (net::Clock::now() < next_try_) {
@@ -167,10 +173,15 @@
     if ((!known && !published_) || (leading && net::Clock::now() >= next_types_)) {
       if (fetch_types()) next_types_ = net::Clock::now() + constants::kTypesEvery;
     }
-    if (!leading) continue;
-    give_back();
-    rent();
-    if (net::Clock::now() >= next_list_) list();
+    if (leading) {
+      if (wanted) {
+        give_back();
+        rent();
+      }
+      if (net::Clock::now() >= next_list_) list();
+    }
+    const auto next = std::chrono::ceil<std::chrono::milliseconds>(next_list_ - net::Clock::now());
+    context_.cloud_signal.wait(stop, known && !wanted ? std::max(next, constants::kCloudLook) : constants::kCloudLook);
   }
 }
 
@@ -193,13 +204,14 @@
     std::jthread thread;
   };
   std::map<MachineId, std::unique_ptr<Sender>> senders;
-  while (pause(stop, constants::kTick)) {
+  while (!stop.stop_requested()) {
+    context_.halt_signal.wait(stop, senders.empty() ? constants::kForGood : constants::kHaltCallLimit);
     std::erase_if(senders, [](const auto& entry) { return entry.second->done.load(); });
     std::vector<control::DirectHalt> due;
     Term term;
     {
       const std::lock_guard lock(context_.engine_mutex);
-      due = context_.engine.due_halts(now());
+      due = std::exchange(context_.halts, {});
       term = context_.engine.term();
     }
     for (control::DirectHalt& halt : due) {
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <utility>
+
 #include "config/constants.h"
 
 namespace foxshunt::node {
@@ -23,10 +25,10 @@
   raised_.notify_one();
 }
 
-void Signal::wait(const std::stop_token& stop, std::chrono::milliseconds most) {
+bool Signal::wait(const std::stop_token& stop, std::chrono::milliseconds most) {
   std::unique_lock lock(mutex_);
   raised_.wait_for(lock, stop, most, [this] { return up_; });
-  up_ = false;
+  return std::exchange(up_, false);
 }
 
 bool pause(const std::stop_token& stop, std::chrono::milliseconds span) {
@@ -44,6 +46,11 @@
       budget(from.state_rps, from.state_write_rps, 1.0 / static_cast<double>(std::max<std::size_t>(1, from.nodes))),
       engine(from) {}
 
+bool Context::wait_to_lead(const std::stop_token& stop) {
+  std::unique_lock lock(engine_mutex);
+  return led.wait(lock, stop, [this] { return engine.leading(); });
+}
+
 bool Context::state_in_reach() const { return state_silent_for() < constants::kStateSilence; }
 
 net::Clock::duration Context::state_silent_for() const {
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -22,8 +22,8 @@
 class Signal {
  public:
   void raise();
-  // Waits until it is raised, the time is over or a stop is asked for; then lowers it.
-  void wait(const std::stop_token& stop, std::chrono::milliseconds most);
+  // Waits until it is raised, the time is over or a stop is asked for; then lowers it. Whether it was raised.
+  bool wait(const std::stop_token& stop, std::chrono::milliseconds most);
 
  private:
   std::mutex mutex_;
@@ -48,7 +48,9 @@
   Signal plan_signal;
   Signal write_signal;
   Signal cloud_signal;
-  Signal follow_signal;
+  Signal halt_signal;
+  std::vector<control::DirectHalt> halts;     // with engine_mutex: to be sent
+  std::condition_variable_any led;            // with engine_mutex: this node has begun to lead
   Revision follow_from;      // with engine_mutex: up to here the leader knows the records
 
   std::mutex view_mutex;
@@ -58,6 +60,9 @@
 
   std::atomic<net::Clock::rep> state_heard{0};   // when the state service last answered
 
+  // The leader's duties of a node that does not lead wait here, so that it costs nothing. False when a stop is asked for.
+  bool wait_to_lead(const std::stop_token& stop);
+
   void heard_state() { state_heard = net::Clock::now().time_since_epoch().count(); }
   [[nodiscard]] bool state_in_reach() const;
   [[nodiscard]] net::Clock::duration state_silent_for() const;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <iterator>
+
 #include "config/constants.h"
 #include "control/times.h"
 
@@ -122,9 +125,8 @@
   }
   context_.learn_lead(context_.settings.name, term);
   context_.budget.set_share(constants::kLeaderShare);
-  context_.follow_signal.raise();
+  context_.led.notify_all();
   context_.plan_signal.raise();
-  context_.cloud_signal.raise();
   return true;
 }
 
@@ -175,7 +177,7 @@
       term = context_.engine.term();
     }
     if (!leading) {
-      context_.follow_signal.wait(stop, constants::kKeepLooking);
+      if (!context_.wait_to_lead(stop)) return;
       continue;
     }
     const plan::Instant sent = now();
@@ -263,7 +265,7 @@
 }
 
 void WriteDuty::run(const std::stop_token& stop) {
-  while (!stop.stop_requested()) {
+  while (context_.wait_to_lead(stop)) {
     reload_jobs();
     std::optional<control::WriteBatch> batch;
     {
@@ -271,8 +273,7 @@
       batch = context_.engine.begin_write(now());
     }
     if (!batch) {
-      context_.write_signal.wait(stop, constants::kStateRetryPause);
-      pause(stop, constants::kWritePause);
+      if (context_.write_signal.wait(stop, constants::kWriteLook)) pause(stop, constants::kWritePause);
       continue;
     }
     const state::TxnResult result = client_.txn(batch->txn, call_limit());
@@ -292,25 +293,29 @@
 // ---- PlanDuty ----
 
 void PlanDuty::run(const std::stop_token& stop) {
-  while (!stop.stop_requested()) {
-    context_.plan_signal.wait(stop, constants::kTick);
+  while (context_.wait_to_lead(stop)) {
+    context_.plan_signal.wait(stop, constants::kHousekeepEvery);
+    bool planned = false;
     bool writes = false;
-    bool leading = false;
+    bool cloud = false;
+    bool halts = false;
     {
       const std::lock_guard lock(context_.engine_mutex);
-      leading = context_.engine.leading();
-      if (leading) {
-        context_.engine.tick(now());
-        if (context_.engine.plan_wanted()) context_.engine.plan_pass(now());
-        writes = context_.engine.writes_wanted();
-      }
+      control::Engine& engine = context_.engine;
+      engine.tick(now());
+      planned = engine.plan_wanted();
+      if (planned) engine.plan_pass(now());
+      writes = engine.writes_wanted();
+      cloud = engine.cloud_wanted();
+      std::ranges::move(engine.due_halts(now()), std::back_inserter(context_.halts));
+      halts = !context_.halts.empty();
     }
     if (writes) context_.write_signal.raise();
-    if (leading) {
-      context_.engine_moved.notify_all();
-      context_.cloud_signal.raise();
-    }
-    pause(stop, leading ? constants::kPlanPause : constants::kKeepLooking);
+    if (cloud) context_.cloud_signal.raise();
+    if (halts) context_.halt_signal.raise();
+    if (!planned) continue;
+    context_.engine_moved.notify_all();
+    pause(stop, constants::kPlanPause);
   }
 }
 
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Millis kStep{50};                 // of duties and workers
+constexpr Millis kLook{500};                // of followers at who leads, for want of a watch
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
 
 }  // namespace
@@ -171,9 +172,9 @@
         if (seen.answer != Answer::ok) return again(constants::kStateRetryPause);
         const bool held = seen.view.holder_mark != Revision{};
         me.leader_seen = held ? seen.view.record.leader : NodeName{};
-        if (held && seen.view.record.leader != name) return again(constants::kKeepLooking);
+        if (held && seen.view.record.leader != name) return again(kLook);
         take_lead(node, seen.view);
-        again(constants::kKeepLooking);
+        again(kLook);
       });
 }
 
