A server connection sleeps in recv; a client that has asked polls first: 8 -> 6 calls an exchange

Counted with strace on the benchmark of one exchange: the server polled before each read, the client read in vain before each poll. SO_RCVTIMEO bounds the idle time as the poll did.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -23,14 +23,25 @@
   explicit SocketStream(const Socket& socket) : socket_(socket) {}
 
   void set_deadline(Deadline until) { until_ = until; }
-  [[nodiscard]] bool has_input() const { return at_ < filled_; }
+  // Sleeps until a request begins; false when the connection is over.
+  bool await_request() {
+    if (at_ < filled_) return true;
+    const ssize_t got = socket_.read_blocking(buffer_, sizeof buffer_);
+    if (got <= 0) return false;
+    at_ = 0;
+    filled_ = static_cast<std::size_t>(got);
+    return true;
+  }
 
   bool is_readable() const override { return true; }
   bool is_writable() const override { return true; }
 
   ssize_t read(char* into, std::size_t size) override {
+    const bool asked = !out_.empty();
     if (!flush()) return -1;
     if (at_ == filled_) {
+      // What was asked only now is not answered yet: a look would be in vain.
+      if (asked && !socket_.wait_readable(until_)) return -1;
       const ssize_t got = socket_.read_some(buffer_, sizeof buffer_, until_);
       if (got <= 0) return got;
       at_ = 0;
@@ -203,7 +214,8 @@
   void serve(std::list<Connection>::iterator entry) {
     {
       const auto stream = std::make_unique<SocketStream>(entry->socket);
-      while (stream->has_input() || entry->socket.wait_readable(Clock::now() + constants::kServerIdleLimit)) {
+      entry->socket.limit_reads(constants::kServerIdleLimit);
+      while (stream->await_request()) {
         stream->set_deadline(Clock::now() + constants::kServerRequestLimit);
         if (!protocol_.serve_one(*stream)) break;
       }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -74,6 +75,19 @@
 
 bool Socket::wait_readable(Deadline until) const { return wait_for(fd_, POLLIN, until); }
 
+void Socket::limit_reads(std::chrono::milliseconds most) const {
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(most);
+  const timeval limit{.tv_sec = seconds.count(), .tv_usec = std::chrono::microseconds(most - seconds).count()};
+  ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+}
+
+ssize_t Socket::read_blocking(char* into, std::size_t size) const {
+  while (true) {
+    const ssize_t got = ::recv(fd_, into, size, 0);
+    if (got >= 0 || errno != EINTR) return got;
+  }
+}
+
 ssize_t Socket::read_some(char* into, std::size_t size, Deadline until) const {
   while (true) {
     const ssize_t got = ::recv(fd_, into, size, MSG_DONTWAIT);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -32,6 +32,10 @@
 
   // False when the deadline passed or the connection broke.
   [[nodiscard]] bool wait_readable(Deadline until) const;
+  // From now on a read that nothing answers ends after this; for blocking reads.
+  void limit_reads(std::chrono::milliseconds most) const;
+  // One call that sleeps until something comes; 0 at the end, -1 after the limit or an error.
+  ssize_t read_blocking(char* into, std::size_t size) const;
   // Bytes read; 0 at the end of the stream, -1 on a deadline or error.
   [[nodiscard]] ssize_t read_some(char* into, std::size_t size, Deadline until) const;
   [[nodiscard]] bool write_all(const char* from, std::size_t size, Deadline until) const;
