Plain work takes whole GPU machines beyond the latest peak of GPU demand

PAPER 5.4 keeps a pool for jobs that request GPUs; it is now the peak of what they wanted at once in the last 240 s.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -70,6 +70,7 @@
 inline constexpr milliseconds kReturnIdleLeast = 20s;           // cloud calls are few; machines are not turned over faster
 inline constexpr milliseconds kReturnIdleUrgent = 240s;         // of machines for a class that can't wait for a boot
 inline constexpr milliseconds kDemandWindow = 240s;             // arrivals of a class are counted over this
+inline constexpr milliseconds kGpuDemandWindow = 240s;         // the peak of this is left to work with GPUs
 inline constexpr double kReserveSpread = 1.3;                   // deviations of a Poisson process that a reserve covers
 inline constexpr double kLatePriceMost = 8;                     // times the cheapest kind's price for a task, when late
 inline constexpr double kPatientPriceMost = 1.5;                // the same for a deadline that leaves time for cheaper ones
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -248,6 +248,7 @@
   // What a machine of the kind has for the job: work without GPUs leaves room for those that have use for them.
   [[nodiscard]] Amounts offered(const wire::JobSpec& spec, const wire::MachineType& kind) const;
   void learn_class(const Job& job);
+  void learn_gpu_demand(Instant now);
   // How much later than it was submitted a job counts as submitted: the more it takes, the later.
   [[nodiscard]] Millis lag(const Job& job) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
@@ -301,6 +302,8 @@
   std::optional<wire::RentRequest> rental_;       // under way, or unanswered
   std::map<std::string, ClassDemand> classes_;
   std::set<MachineId> reserve_;                   // idle, but kept for what may come
+  std::deque<std::pair<Instant, plan::Items>> gpu_demand_;   // wanted at once, falling: its front is the latest peak
+  plan::Items gpus_spare_ = 0;                    // that machines have beyond it
   Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
   bool plan_wanted_ = false;
   Instant planned_;                               // when the latest pass was
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -94,6 +94,7 @@
     job.planned_start.reset();
     job.late_tasks = 0;
   }
+  learn_gpu_demand(now);
   bool placed = false;
   for (Job* job : planning_order(now)) {
     const std::uint32_t before = job->runs_count;
@@ -122,6 +123,7 @@
                      .fetch = fetch_time(job.spec, type.name)});
   }
   std::vector<plan::Place> places;
+  plan::Items spare = gpus_spare_;
   const Kind* kind = nullptr;
   for (const auto& [id, machine] : machines_) {
     if (machine.planned == nullptr || (machine.spot && !job.spec.spot)) continue;
@@ -133,14 +135,19 @@
       if (found == kinds.end()) continue;
       kind = &*found;
     }
-    if (!kind->allowed || !job.each.fits(kind->offered) || job.failed_on.contains(id)) continue;
+    if (!kind->allowed || job.failed_on.contains(id)) continue;
     if (kind->guards_gpus) {
       Amounts plain = job.each;
+      Amounts gpu_work;
       for (const TaskKey& key : machine.runs) {
         const Job& other = jobs_.at(key.job);
-        if (other.spec.gpus <= 0) plain += other.each;
+        (other.spec.gpus <= 0 ? plain : gpu_work) += other.each;
+      }
+      if (!plain.fits(kind->offered)) {
+        const plan::Items gpus = machine.planned->info.capacity.of[1];
+        if (gpu_work.of[1] > 0 || spare < gpus) continue;
+        spare -= gpus;
       }
-      if (!plain.fits(kind->offered)) continue;
     }
     Millis before = machine.images.contains(job.spec.image) ? Millis(0) : kind->fetch;
     if (booting && machine.ready < now) before = kind->fetch + boot_left(machine, now);
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -21,6 +21,23 @@
   }
 }
 
+// GPUs that machines have beyond what was wanted at once of late: plain work may take these machines as a whole.
+void Engine::learn_gpu_demand(Instant now) {
+  plan::Items wanted = 0;
+  for (const auto& [unused, job] : jobs_) {
+    if (!job.withdrawn) wanted += job.each.of[1] * (job.spec.tasks - job.done_count);
+  }
+  while (!gpu_demand_.empty() && gpu_demand_.back().second <= wanted) gpu_demand_.pop_back();
+  gpu_demand_.emplace_back(now, wanted);
+  while (gpu_demand_.front().first < now - constants::kGpuDemandWindow) gpu_demand_.pop_front();
+  plan::Items there = 0;
+  for (const auto& [unused, machine] : machines_) {
+    if (machine.planned == nullptr || (machine.state != MachineState::booting && !usable(machine, now))) continue;
+    there += machine.planned->info.capacity.of[1];
+  }
+  gpus_spare_ = std::max<plan::Items>(0, there - gpu_demand_.front().second);
+}
+
 // PAPER 5.4, "expensive resources": X cores are kept free for jobs requesting GPUs.
 Amounts Engine::offered(const wire::JobSpec& spec, const wire::MachineType& kind) const {
   Amounts all = Amounts::from(kind.cpus, kind.gpus, kind.ram_gb);
@@ -128,7 +145,7 @@
   const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
   std::optional<Offer> best;
   for (const wire::MachineType& kind : types_) {
-    const std::int64_t fit = each.count_in(offered(spec, kind));
+    const std::int64_t fit = each.count_in(Amounts::from(kind.cpus, kind.gpus, kind.ram_gb));
     if (fit <= 0) continue;
     for (const std::string& zone : kind.zones) {
       for (const bool spot : {true, false}) {
