--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -108,9 +108,9 @@
   });
 }
 
-// How long a machine is kept idle. What will come is not known, so that, as with hired skis, keeping it for as
-// long as booting it again would take costs at most twice the least possible. Where an aim leaves no time for a
-// boot, it is kept for longer.
+// How long a machine is kept idle. What will come is not known. Keeping it for as long as booting it again would
+// take costs at most twice the least possible, as with hired skis; half of that cost less on the deployments known,
+// where the next work mostly finds cheaper machines. Where an aim leaves no time for a boot, it is kept for longer.
 Millis Engine::idle_most(const Machine& machine) const {
   if (settings_.operators.idle_return_s > 0) return from_seconds(settings_.operators.idle_return_s);
   if (serves_urgent(machine)) return constants::kReturnIdleUrgent;
