--- /dev/null
+++ b/tests/unit/engine_test.cpp
@@ -0,0 +1,242 @@
+// What a leader may and may not conclude, each check by itself: a day seldom misses one of them alone.
+#include "control/engine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace foxshunt::control {
+namespace {
+
+using wire::CommandKind;
+using wire::EndReason;
+using wire::TaskState;
+
+const MachineId kFirst("m-000001");
+const MachineId kSecond("m-000002");
+const JobId kJob("j-000001");
+
+config::Settings settings() {
+  config::Settings settings;
+  settings.zones = {"a", "b"};
+  settings.teams = {{.name = "red", .cpus = 32, .cpus_max = 64, .gpus = 0, .gpus_max = 0}};
+  settings.report_s = 1;
+  settings.lease_s = 10;
+  settings.cancel_s = 40;
+  settings.state_value_kb = 8;
+  settings.state_txn_ops = 12;
+  settings.operators.may_rent = false;
+  return settings;
+}
+
+wire::JobSpec job_of(std::uint32_t tasks) {
+  wire::JobSpec spec;
+  spec.id = kJob;
+  spec.job_class = "work";
+  spec.team = "red";
+  spec.tasks = tasks;
+  spec.cpus = 4;
+  spec.image = "img";
+  spec.estimate_s = 60;
+  return spec;
+}
+
+class Leading : public testing::Test {
+ protected:
+  Leading() : engine_(settings()) {
+    engine_.on_types({{.name = "plain", .cpus = 16, .ram_gb = 64, .price = 1, .boot_s = 10, .zones = {"a", "b"}}});
+  }
+
+  void lead(std::vector<state::Entry> live = {}, std::vector<state::Entry> linger = {}) {
+    Takeover takeover;
+    takeover.term = Term(7);
+    takeover.term_mark = Revision(1);
+    takeover.others_until = now_ + Millis(20'000);
+    takeover.live = std::move(live);
+    takeover.linger = std::move(linger);
+    engine_.lead(takeover, now_);
+  }
+
+  // A record that places the job's first task.
+  static state::Entry placed_on(const MachineId& machine, const wire::JobSpec& spec) {
+    state::JobRecord record = state::new_job(spec, 0);
+    record.whole->next = AttemptNo(2);
+    record.whole->runs = {{.index = 0, .attempt = AttemptNo(1), .machine = machine, .session = SessionNo(1)}};
+    return {.key = state::live_key(spec.id), .data = state::to_value(record), .mark = Revision(2)};
+  }
+
+  std::optional<std::vector<wire::Command>> report(const MachineId& machine, std::uint64_t sequence, Term seen,
+                                                   std::vector<wire::TaskReport> tasks = {}, bool confirmed = true) {
+    if (confirmed) {
+      engine_.confirm_lease(now_);
+      engine_.confirm_reading(now_);
+    }
+    wire::Report made;
+    made.machine = machine;
+    made.address = "127.0.0.1:1";
+    made.type = "plain";
+    made.zone = machine == kFirst ? "a" : "b";
+    made.session = SessionNo(1);
+    made.sequence = sequence;
+    made.term = seen;
+    made.tasks = std::move(tasks);
+    last_ = made;
+    return engine_.on_report(made, now_);
+  }
+
+  void submit(const wire::JobSpec& spec) {
+    engine_.on_job_record(spec.id, state::to_value(state::new_job(spec, 0)), Revision(++revision_), 0, now_);
+  }
+
+  bool write(state::Answer answer = state::Answer::ok) {
+    const auto batch = engine_.begin_write(now_);
+    if (!batch) return false;
+    engine_.end_write(*batch, {.answer = answer, .revision = Revision(++revision_), .failed = {}}, now_);
+    return true;
+  }
+
+  static wire::TaskReport task(std::uint32_t index, TaskState state, EndReason reason = EndReason::none, std::uint64_t attempt = 1) {
+    return {.task = {kJob, index}, .attempt = AttemptNo(attempt), .state = state, .reason = reason, .saved = false};
+  }
+  static bool has(const std::optional<std::vector<wire::Command>>& commands, CommandKind kind) {
+    return commands && std::ranges::any_of(*commands, [&](const wire::Command& command) { return command.kind == kind; });
+  }
+  [[nodiscard]] std::uint32_t placed() const { return engine_.jobs().contains(kJob) ? engine_.jobs().at(kJob).runs_count : 0; }
+
+  Instant now_{Millis(1'000'000)};
+  std::uint64_t revision_ = 10;
+  wire::Report last_;
+  Engine engine_;
+};
+
+// Invariant 3: a worker that has seen a higher term proves that another leads.
+TEST_F(Leading, StepsDownOnAReportWithAHigherTerm) {
+  lead();
+  EXPECT_TRUE(report(kFirst, 1, Term(7)));
+  EXPECT_FALSE(report(kFirst, 2, Term(8)));
+  EXPECT_FALSE(engine_.leading());
+  EXPECT_FALSE(report(kSecond, 1, Term(0)));
+}
+
+// Invariant 6: a report that was overtaken teaches nothing, and its answer starts nothing.
+TEST_F(Leading, LearnsNothingFromAnOlderReport) {
+  lead();
+  submit(job_of(1));
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  ASSERT_TRUE(write());
+  ASSERT_TRUE(has(report(kFirst, 3, Term(7)), CommandKind::run));
+  (void)report(kFirst, 5, Term(7), {task(0, TaskState::running)});
+  const auto answer = report(kFirst, 4, Term(7));
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->empty());
+  EXPECT_EQ(placed(), 1U);
+  // Nor does one of an earlier session, whatever its number.
+  EXPECT_FALSE(has(report(kFirst, 5, Term(7), {task(0, TaskState::ended, EndReason::done)}), CommandKind::clear));
+  EXPECT_EQ(engine_.jobs().at(kJob).done_count, 0U);
+}
+
+// Invariant 5: until the worker has seen our term, an older leader's start command may yet reach it.
+TEST_F(Leading, AbsenceIsNoProofBeforeTheWorkerHasSeenOurTerm) {
+  state::Entry linger = placed_on(kFirst, job_of(1));
+  linger.key = state::linger_key(kJob);
+  lead({}, {linger});
+  (void)report(kFirst, 1, Term(6));
+  EXPECT_EQ(placed(), 1U);
+  EXPECT_FALSE(write()) << "the record of where its tasks may be is given up too early";
+  (void)report(kFirst, 2, Term(7));
+  EXPECT_EQ(placed(), 0U);
+  EXPECT_TRUE(write());
+}
+
+// Invariant 11: what the worker forgets can't be asked of it again.
+TEST_F(Leading, ClearsATaskOnlyWhenItsOutcomeIsDurable) {
+  lead();
+  submit(job_of(2));
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  ASSERT_TRUE(write());
+  (void)report(kFirst, 2, Term(7));
+  const std::vector<wire::TaskReport> tasks{task(0, TaskState::ended, EndReason::done), task(1, TaskState::running, EndReason::none, 2)};
+  EXPECT_FALSE(has(report(kFirst, 3, Term(7), tasks), CommandKind::clear));
+  ASSERT_TRUE(write(state::Answer::none));   // it may have been written, or not
+  EXPECT_FALSE(has(report(kFirst, 4, Term(7), tasks), CommandKind::clear));
+  ASSERT_TRUE(write());
+  EXPECT_TRUE(has(report(kFirst, 5, Term(7), tasks), CommandKind::clear));
+  EXPECT_EQ(engine_.jobs().at(kJob).done_count, 1U);
+}
+
+// Invariant 6: a start command waits for a placement that is known to be written.
+TEST_F(Leading, StartsOnlyWhatIsDurable) {
+  lead();
+  submit(job_of(1));
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  EXPECT_FALSE(has(report(kFirst, 2, Term(7)), CommandKind::run));
+  EXPECT_FALSE(has(engine_.later_commands(last_, now_), CommandKind::run));
+  ASSERT_TRUE(write(state::Answer::none));
+  EXPECT_FALSE(has(engine_.later_commands(last_, now_), CommandKind::run));
+  EXPECT_FALSE(has(report(kFirst, 3, Term(7)), CommandKind::run));
+  ASSERT_TRUE(write());
+  EXPECT_TRUE(has(report(kFirst, 4, Term(7)), CommandKind::run));
+}
+
+// Invariant 10: a machine on which tasks fail twice in a row gets no more of them.
+TEST_F(Leading, DrainsAMachineOnWhichTasksFail) {
+  lead();
+  submit(job_of(2));
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  ASSERT_TRUE(write());
+  (void)report(kFirst, 2, Term(7));
+  (void)report(kFirst, 3, Term(7), {task(0, TaskState::ended, EndReason::error), task(1, TaskState::running, EndReason::none, 2)});
+  EXPECT_EQ(engine_.machines().at(kFirst).state, MachineState::up);
+  (void)report(kFirst, 4, Term(7), {task(1, TaskState::ended, EndReason::error, 2)});
+  EXPECT_EQ(engine_.machines().at(kFirst).state, MachineState::draining);
+  engine_.tick(now_);
+  EXPECT_EQ(engine_.machines().at(kFirst).state, MachineState::returning);
+}
+
+// Invariant 7: where a machine that nobody has heard of stands is not known, so that no other task of a job that
+// wants one zone starts anywhere until it is.
+TEST_F(Leading, PlacesNothingBesideATaskWhoseZoneIsUnknown) {
+  wire::JobSpec spec = job_of(2);
+  spec.one_zone = true;
+  lead({placed_on(kSecond, spec)});
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  EXPECT_EQ(placed(), 1U);
+  (void)report(kSecond, 1, Term(7), {task(0, TaskState::running)});
+  engine_.plan_pass(now_);
+  ASSERT_EQ(placed(), 2U);
+  EXPECT_EQ(engine_.machines().at(kSecond).runs.size(), 2U);
+}
+
+// Invariant 7: what is placed counts against the limit until proof, also when its machine is silent.
+TEST_F(Leading, ASilentMachinesTasksCountAgainstTheLimit) {
+  wire::JobSpec spec = job_of(20);
+  lead({placed_on(kSecond, spec)});
+  for (const char* name : {"m-000001", "m-000003", "m-000004", "m-000005", "m-000006"}) (void)report(MachineId(name), 1, Term(7));
+  engine_.plan_pass(now_);
+  EXPECT_EQ(placed(), 16U);   // of 4 CPUs each, for a limit of 64
+}
+
+// Duties run late on a small machine: what is answered counts from the moment up to which all was known, and not
+// from the moment of the answer.
+TEST_F(Leading, AnswersAndStartsNothingOnceItsKnowledgeIsTooOld) {
+  lead();
+  submit(job_of(1));
+  ASSERT_TRUE(report(kFirst, 1, Term(7)));
+  now_ += Millis(4'100);   // nothing confirmed: the lease may have ended
+  EXPECT_TRUE(engine_.may_answer(now_));
+  EXPECT_FALSE(engine_.may_start(now_));
+  EXPECT_TRUE(report(kFirst, 2, Term(7), {}, false));
+  engine_.plan_pass(now_);
+  EXPECT_EQ(placed(), 0U);
+  EXPECT_FALSE(engine_.begin_write(now_));
+  now_ += Millis(24'000);   // 40 s for a cancellation, less a worker's lease of 10 s and a margin of 2 s
+  EXPECT_FALSE(engine_.may_answer(now_));
+}
+
+}  // namespace
+}  // namespace foxshunt::control
