Connections bounded by memory; no regular expressions in routing; limits validated

Cause: a used connection holds 36 KiB (32 of them stack pages, counted in smaps), so that the 640 that sockets allow took 36 of 42 MB before any job. What limits.ram_mb holds now bounds them (550 at 42 MB, 640 as before at 56); more are told to come back, 503 with Retry-After. A client's buffer is off the stack. limits.ram_mb and max_connections too small to run in are refused by name; a number too large for a double in the deploy file ended the program with an exception, now it is named too.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -30,6 +30,8 @@
 inline constexpr milliseconds kServerIdleLimit = 75s;           // longest user poll or lease is far shorter
 inline constexpr milliseconds kAcceptPause = 20ms;              // after accept() failed for want of sockets
 inline constexpr int kConnectionReserve = 60;                   // sockets kept for outgoing calls and peers
+inline constexpr double kProcessMb = 20;                        // held without connections: 10 idle, up to 9 more at a takeover
+inline constexpr double kConnectionMb = 0.04;                   // stack pages and buffers of one that was used; 36 KiB measured
 inline constexpr std::size_t kStreamBufferBytes = 4096;         // most messages fit one read
 
 // ---- state ----
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -7,6 +7,8 @@
 #include <set>
 #include <sstream>
 
+#include "config/constants.h"
+
 namespace foxshunt::config {
 namespace {
 
@@ -94,7 +96,7 @@
   json document;
   try {
     document = json::parse(json_text);
-  } catch (const json::parse_error& error) {
+  } catch (const json::exception& error) {   // a number too large for a double is no parse error
     throw BadSettings(path + ": not JSON: " + error.what());
   }
   const Reader top(document, path);
@@ -144,8 +146,8 @@
   found.cloud_list_lag_s = cloud.amount_or("list_lag_s", 0);
   const Reader limits = params.inner("limits");
   found.cpu_share = limits.amount("cpu", 0.0001);
-  found.ram_mb = limits.amount("ram_mb", 1);
-  found.max_connections = static_cast<int>(limits.amount("max_connections", 16));
+  found.ram_mb = limits.amount("ram_mb", constants::kProcessMb + 1);
+  found.max_connections = static_cast<int>(limits.amount("max_connections", constants::kConnectionReserve + 1));
   found.skew_ms = params.amount("skew_ms");
   return found;
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -23,6 +23,12 @@
   explicit SocketStream(const Socket& socket) : socket_(socket) {}
 
   void set_deadline(Deadline until) { until_ = until; }
+  // Nothing is left of an exchange that broke off.
+  void begin(Deadline until) {
+    until_ = until;
+    at_ = filled_ = 0;
+    out_.clear();
+  }
   // Sleeps until a request begins; false when the connection is over.
   bool await_request() {
     if (at_ < filled_) return true;
@@ -89,36 +95,18 @@
     set_payload_max_length(constants::kBodyLimitBytes);
     set_keep_alive_max_count(1'000'000);
     set_keep_alive_timeout(std::chrono::seconds(std::chrono::floor<std::chrono::seconds>(constants::kServerIdleLimit)).count());
-    // httplib's routes are regular expressions, whose matcher recurses once a character: a long path would
-    // overflow a small stack, so it is refused before routing.
-    set_pre_routing_handler([](const httplib::Request& request, httplib::Response& response) {
-      if (request.path.size() <= constants::kPathLimitBytes) return HandlerResponse::Unhandled;
-      response.status = 400;
-      return HandlerResponse::Handled;
-    });
-    const auto serve = [&handler](const httplib::Request& request, httplib::Response& response) {
-      HttpResponse answer = handler({.method = request.method,
-                                     .path = request.path,
-                                     .body = request.body,
-                                     .query = {request.params.begin(), request.params.end()}});
-      response.status = answer.status;
-      if (answer.retry_after_s) response.set_header("Retry-After", std::to_string(*answer.retry_after_s));
-      if (!answer.body.empty()) {
-        response.set_content(answer.body, answer.is_text ? "text/plain" : "application/cbor");
-      }
-    };
-    Get(".*", serve);
-    Post(".*", serve);
-    Put(".*", serve);
-    Delete(".*", serve);
-    set_exception_handler([](const httplib::Request& request, httplib::Response& response, std::exception_ptr) {
-      spdlog::error("request {} {} failed inside", request.method, request.path);
-      response.status = 500;
-    });
-    // PROTOCOL knows one answer to a body that is too long.
-    set_error_handler(httplib::Server::Handler([](const httplib::Request&, httplib::Response& response) {
-      if (response.status == 413) response.status = 400;
-    }));
+    // httplib's routes are regular expressions, whose matcher recurses once a character of the path: that took 16 KiB
+    // of every connection's stack, and a long path overflowed it. No route is registered, so that httplib reads each
+    // request and leaves it, as one that it has no route for, to the handler of errors.
+    set_error_handler(httplib::Server::HandlerWithResponse(
+        [&handler](const httplib::Request& request, httplib::Response& response) {
+          if (response.status == 404) {
+            serve(handler, request, response);
+          } else if (response.status == 413) {
+            response.status = 400;   // PROTOCOL knows one answer to a body that is too long
+          }
+          return HandlerResponse::Handled;
+        }));
   }
 
   // Serves one request; false when the connection has to be closed.
@@ -132,6 +120,28 @@
     });
     return stream.flush() && good && !closed && !body_left;
   }
+
+ private:
+  static void serve(const HttpServer::Handler& handler, const httplib::Request& request, httplib::Response& response) {
+    if (request.path.size() > constants::kPathLimitBytes) {
+      response.status = 400;
+      return;
+    }
+    try {
+      const HttpResponse answer = handler({.method = request.method,
+                                           .path = request.path,
+                                           .body = request.body,
+                                           .query = {request.params.begin(), request.params.end()}});
+      response.status = answer.status;
+      if (answer.retry_after_s) response.set_header("Retry-After", std::to_string(*answer.retry_after_s));
+      if (!answer.body.empty()) {
+        response.set_content(answer.body, answer.is_text ? "text/plain" : "application/cbor");
+      }
+    } catch (const std::exception& error) {
+      spdlog::error("request {} {} failed inside: {}", request.method, request.path, error.what());
+      response.status = 500;
+    }
+  }
 };
 
 }  // namespace
@@ -293,8 +303,7 @@
   }
 
   std::optional<HttpResponse> exchange(const HttpRequest& asked, Deadline until) {
-    SocketStream stream(connection_);
-    stream.set_deadline(until);
+    stream_.begin(until);
     httplib::Request request;
     request.method = asked.method;
     request.path = asked.path;
@@ -302,7 +311,7 @@
     if (!asked.body.empty()) request.set_header("Content-Type", "application/cbor");
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
-    const bool good = process_request(stream, request, response, false, error);
+    const bool good = process_request(stream_, request, response, false, error);
     if (!good || response.get_header_value("Connection") == "close") {
       const std::lock_guard lock(mutex_);
       connection_.close();
@@ -322,6 +331,7 @@
   std::chrono::milliseconds connect_limit_;
   std::mutex mutex_;   // for abort() against closing and connecting
   net::Socket connection_;
+  SocketStream stream_{connection_};   // not on the stack, of which every thread that calls would keep its pages
 };
 
 HttpClient::HttpClient(Address to, std::chrono::milliseconds connect_limit)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,7 +30,7 @@
         cloud_(context_),
         halt_(context_),
         peers_(context_),
-        server_(address_of(settings.bind, "bind"), settings.max_connections - constants::kConnectionReserve,
+        server_(address_of(settings.bind, "bind"), connections_most(settings),
                 [this](const HttpRequest& request) { return handle(request); }) {
     start(leader_);
     start(follow_);
@@ -49,6 +49,11 @@
   [[nodiscard]] std::string address() const { return server_.address().text(); }
 
  private:
+  // As many as sockets and memory allow; whoever comes beyond that is told to come back.
+  static int connections_most(const config::Settings& settings) {
+    const auto fit = static_cast<int>((settings.ram_mb - constants::kProcessMb) / constants::kConnectionMb);
+    return std::max(1, std::min(settings.max_connections - constants::kConnectionReserve, fit));
+  }
   static net::Address address_of(const std::string& text, const char* field) {
     const auto address = net::parse_address(text);
     if (!address) throw config::BadSettings(std::string(field) + ": must be an IPv4 address with a port");
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -45,6 +45,14 @@
   EXPECT_NE(error_of("\"rps\": 250.0", "\"rps\": \"x\"").find("params.state.rps: must be a number"), std::string::npos);
   EXPECT_NE(error_of("{\"name\": \"red\", ", "{").find("params.teams[0].name"), std::string::npos);
   EXPECT_NE(error_of("\"zone\": \"a\",", "").find("zone"), std::string::npos);
+  EXPECT_NE(error_of("\"limits\": {", "\"limited\": {").find("params.limits: is missing"), std::string::npos);
+  EXPECT_NE(error_of("\"cpu\": 0.08", "\"cpu\": 0").find("params.limits.cpu: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 8").find("params.limits.ram_mb: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": -56.0").find("params.limits.ram_mb: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0, ", "").find("params.limits.ram_mb: is missing"), std::string::npos);
+  EXPECT_NE(error_of("\"max_connections\": 700", "\"max_connections\": 20").find("params.limits.max_connections: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 1e999").find("deploy.json"), std::string::npos);
+  EXPECT_EQ(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 24"), "");
   EXPECT_NE(error_of("{", "").find("not JSON"), std::string::npos);
 }
 
