--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -149,8 +149,10 @@
 void tune_process_for_threads() {
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
+#ifndef __SANITIZE_THREAD__   // which keeps more than that for itself in every thread
   pthread_attr_setstacksize(&attributes, constants::kThreadStackBytes);
   pthread_setattr_default_np(&attributes);
+#endif
   pthread_attr_destroy(&attributes);
   mallopt(M_ARENA_MAX, 1);                 // only one thread runs at a time; arenas would only hold memory
   mallopt(M_TRIM_THRESHOLD, 256 * 1024);   // give back what a burst took
