--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -123,7 +123,7 @@
                      .fetch = fetch_time(job.spec, type.name)});
   }
   std::vector<plan::Place> places;
-  plan::Items spare = gpus_spare_;
+  plan::Items spare = gpus_spare_;   // of which each machine that plain work has, or may have, as a whole takes its GPUs
   const Kind* kind = nullptr;
   for (const auto& [id, machine] : machines_) {
     if (machine.planned == nullptr || (machine.spot && !job.spec.spot)) continue;
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -145,6 +145,7 @@
   const Amounts each = Amounts::from(spec.cpus, spec.gpus, spec.ram_gb);
   std::optional<Offer> best;
   for (const wire::MachineType& kind : types_) {
+    // As a whole: a GPU machine that is rented for plain work is beyond what GPU work wants.
     const std::int64_t fit = each.count_in(Amounts::from(kind.cpus, kind.gpus, kind.ram_gb));
     if (fit <= 0) continue;
     for (const std::string& zone : kind.zones) {
--- a/src/plan/usage_vector.h
+++ b/src/plan/usage_vector.h
@@ -48,6 +48,7 @@
   // The paper's mf: at no time more free than `limit` leaves after `limited_use`.
   [[nodiscard]] static UsageVector min_free(const UsageVector& system, Items limit, const UsageVector& limited_use);
 
+  // The paper's getFreeSlots, which the plain planner of the tests uses; Planner sweeps all resources at once.
   // Longest intervals within [from, to) that have at least `items` free throughout and last `duration` at
   // least; `items` of a result are the fewest that are free in it.
   [[nodiscard]] FreeSlots free_slots(Items items, Millis duration, Instant from, Instant to) const;
