--- a/tests/smoke/processes.cpp
+++ b/tests/smoke/processes.cpp
@@ -1,36 +1,54 @@
 #include "smoke/processes.h"
 
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
 #include <csignal>
+#include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
+#include <system_error>
 
 namespace foxshunt::smoke {
 
 using nlohmann::json;
 
-net::Address free_address() {
-  const net::Socket probe = net::listen_on({"127.0.0.1", 0});
-  return net::local_address(probe);
+namespace {
+
+// A port of the kernel's choice. The socket is bound but doesn't listen, so a process may listen there as often as it
+// is started, and no connection or other test gets the port meanwhile. One run in 32 side by side failed by that.
+net::Socket hold_port() {
+  net::Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  sockaddr_in any{};
+  any.sin_family = AF_INET;
+  any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (!socket.open() || ::setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(socket.fd(), reinterpret_cast<const sockaddr*>(&any), sizeof any) != 0) {
+    throw std::system_error(errno, std::generic_category(), "bind on loopback");
+  }
+  return socket;
 }
 
+}  // namespace
+
 Cluster::Cluster(std::size_t nodes) : pids_(nodes, 0) {
   std::string pattern = (std::filesystem::temp_directory_path() / "foxshunt-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
   std::vector<net::Address> peers;
-  {
-    // Held together, so that no two are the same.
-    std::vector<net::Socket> held;
-    for (std::size_t i = 0; i < 2 * nodes; ++i) held.push_back(net::listen_on({"127.0.0.1", 0}));
-    for (std::size_t i = 0; i < nodes; ++i) {
-      addresses_.push_back(net::local_address(held[2 * i]));
-      peers.push_back(net::local_address(held[2 * i + 1]));
-    }
+  for (std::size_t node = 0; node < nodes; ++node) {
+    ports_.push_back(hold_port());
+    addresses_.push_back(net::local_address(ports_.back()));
+    ports_.push_back(hold_port());
+    peers.push_back(net::local_address(ports_.back()));
   }
   cloud_ = std::make_unique<standins::HttpCloud>(addresses_, 0.5, 5);
   for (std::size_t node = 0; node < nodes; ++node) {
@@ -62,6 +80,10 @@
 
 Cluster::~Cluster() {
   for (std::size_t node = 0; node < pids_.size(); ++node) kill(node);
+  for (std::size_t node = 0; ::testing::Test::HasFailure() && node < pids_.size(); ++node) {
+    const std::string name = "node-" + std::to_string(node) + ".log";
+    std::cout << "---- " << name << "\n" << std::ifstream(folder_ / name).rdbuf() << "\n";
+  }
   std::filesystem::remove_all(folder_);
 }
 
--- a/tests/smoke/processes.h
+++ b/tests/smoke/processes.h
@@ -11,9 +11,6 @@
 
 namespace foxshunt::smoke {
 
-// A port that the kernel chose; it is free again, and nothing else on loopback asks for it by number.
-[[nodiscard]] net::Address free_address();
-
 class Cluster {
  public:
   explicit Cluster(std::size_t nodes);
@@ -32,6 +29,7 @@
  private:
   std::filesystem::path folder_;
   standins::HttpState state_;
+  std::vector<net::Socket> ports_;   // held for the nodes
   std::vector<net::Address> addresses_;
   std::vector<pid_t> pids_;
   std::unique_ptr<standins::HttpCloud> cloud_;
