--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -88,6 +88,7 @@
 inline constexpr double kLagPerWork = 8;                        // times the span for which a job would fill the whole fleet
 inline constexpr milliseconds kLagMost = 180s;                  // bounds how long small work may pass a large job
 inline constexpr std::size_t kTasksPlannedPerPass = 500;        // of one array, as the paper does
+inline constexpr std::size_t kPlacesPerPortion = 2000;          // of a pass: some 0.3 ms of a core, ten or more at 2.4% of it
 
 inline constexpr milliseconds kReplanEvery = 2s;                // pauses of jobs and supplies end without an event
 inline constexpr milliseconds kPlanPause = 100ms;               // between passes; what came meanwhile is planned at once
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -135,6 +135,18 @@
   std::int64_t wall_ms = 0;      // now, by the time of day
 };
 
+// What this leader has done so far, for operators and tests.
+struct Counters {
+  std::uint64_t reports = 0;
+  std::uint64_t passes = 0;
+  std::uint64_t portions = 0;       // of the passes
+  std::uint64_t jobs_planned = 0;   // in them
+  std::uint64_t places_seen = 0;    // machines looked at for these jobs
+  std::uint64_t placed = 0;         // tasks
+  std::uint64_t writes = 0;         // transactions
+  std::uint64_t writes_failed = 0;
+};
+
 class Engine {
  public:
   explicit Engine(config::Settings settings);
@@ -185,13 +197,17 @@
   // ---- time ----
   // Housekeeping: expiries, overdue allocations, idle machines.
   void tick(Instant now);
-  // Plans what is pending and places what may start now. True when something was placed.
-  bool plan_pass(Instant now);
-  [[nodiscard]] bool plan_wanted() const { return plan_wanted_; }
+  // Plans what is pending and places what may start now, a portion of it: events are taken between portions. At least
+  // one job is planned, and no more once this many places were looked at. True when the pass has ended.
+  bool plan_some(Instant now, std::size_t places_most);
+  // A whole pass.
+  void plan_pass(Instant now);
+  [[nodiscard]] bool plan_wanted() const { return plan_wanted_ || pass_; }
   // Whether there is something to rent or to return.
   [[nodiscard]] bool cloud_wanted() const;
   [[nodiscard]] bool writes_wanted() const { return !dirty_.empty(); }
 
+  [[nodiscard]] const Counters& counters() const { return counters_; }
   [[nodiscard]] const std::map<JobId, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const std::map<MachineId, Machine>& machines() const { return machines_; }
 
@@ -252,7 +268,9 @@
   // How much later than it was submitted a job counts as submitted: the more it takes, the later.
   [[nodiscard]] Millis lag(const Job& job) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
-  void plan_job(Job& job, Instant now);
+  void begin_pass(Instant now);
+  // How many places it looked at.
+  std::size_t plan_job(Job& job, Instant now);
   [[nodiscard]] std::vector<plan::Place> places_for(const Job& job, Instant now) const;
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
   [[nodiscard]] bool room_for(const Job& job, const Machine& machine, std::uint32_t count) const;
@@ -305,8 +323,10 @@
   std::deque<std::pair<Instant, plan::Items>> gpu_demand_;   // wanted at once, falling: its front is the latest peak
   plan::Items gpus_spare_ = 0;                    // that machines have beyond it
   Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
-  bool plan_wanted_ = false;
-  Instant planned_;                               // when the latest pass was
+  bool plan_wanted_ = false;                      // something has happened since the latest pass began
+  std::optional<std::deque<JobId>> pass_;         // what the pass under way has left to plan
+  Instant planned_;                               // when the latest pass began
+  Counters counters_;
 };
 
 }  // namespace foxshunt::control
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -74,10 +74,10 @@
   return jobs;
 }
 
-bool Engine::plan_pass(Instant now) {
-  if (!leading_) return false;
+void Engine::begin_pass(Instant now) {
   plan_wanted_ = false;
   planned_ = now;
+  ++counters_.passes;
   planner_.forget_before(now);
   // An overrunning booking is extended by its estimate; what was booked behind it is planned anew below.
   for (auto& [unused, job] : jobs_) {
@@ -95,14 +95,36 @@
     job.late_tasks = 0;
   }
   learn_gpu_demand(now);
-  bool placed = false;
-  for (Job* job : planning_order(now)) {
-    const std::uint32_t before = job->runs_count;
-    plan_job(*job, now);
-    placed = placed || job->runs_count != before;
+  pass_.emplace();
+  for (const Job* job : planning_order(now)) pass_->push_back(job->spec.id);
+}
+
+bool Engine::plan_some(Instant now, std::size_t places_most) {
+  if (!leading_) {
+    pass_.reset();
+    return true;
+  }
+  if (!pass_) begin_pass(now);
+  ++counters_.portions;
+  std::size_t places = 0;
+  while (!pass_->empty() && places < places_most) {
+    // Between portions a job may have been withdrawn, and room may have become free: that is planned for in its order
+    // by the next pass, and what is left of this one may use it already.
+    const auto entry = jobs_.find(pass_->front());
+    pass_->pop_front();
+    if (entry == jobs_.end() || entry->second.withdrawn || entry->second.pending() == 0) continue;
+    ++counters_.jobs_planned;
+    places += plan_job(entry->second, now);
   }
+  counters_.places_seen += places;
+  if (!pass_->empty()) return false;
+  pass_.reset();
   size_fleet(now);
-  return placed;
+  return true;
+}
+
+void Engine::plan_pass(Instant now) {
+  while (!plan_some(now, SIZE_MAX)) {}
 }
 
 // Where the job may run at all, and what each machine has to do before it does.
@@ -156,10 +178,10 @@
   return places;
 }
 
-void Engine::plan_job(Job& job, Instant now) {
+std::size_t Engine::plan_job(Job& job, Instant now) {
   // A gang begins again only when nothing of its earlier attempt is left.
   const bool gang = job.spec.kind == wire::JobKind::gang;
-  if (gang && job.runs_count > 0) return;
+  if (gang && job.runs_count > 0) return 0;
   plan::Request request;
   request.team = job.spec.team;
   request.each = job.each;
@@ -179,11 +201,13 @@
     }
   }
   request.places = places_for(job, now);
+  std::size_t places = request.places.size();
   std::vector<plan::Placing> placings = planner_.plan(request);
   if (placings.empty() && !job.failed_on.empty()) {
     // It is kept off the machines that it failed on only as long as there are others.
     job.failed_on.clear();
     request.places = places_for(job, now);
+    places += request.places.size();
     placings = planner_.plan(request);
   }
   std::uint32_t planned = 0;
@@ -195,7 +219,7 @@
     if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
   }
   if (planned < request.count) job.late_tasks += request.count - planned;
-  if (place_due(job, placings, now) && gang) return;
+  if (place_due(job, placings, now) && gang) return places;
   for (const plan::Placing& placing : placings) {
     if (placing.start <= now && machines_.at(placing.machine).state == MachineState::up) continue;
     job.booked.push_back(planner_.book({.machine = placing.machine,
@@ -204,6 +228,7 @@
                                         .start = placing.start,
                                         .stop = placing.stop}));
   }
+  return places;
 }
 
 std::vector<std::uint32_t> Engine::pending_tasks(const Job& job, std::uint32_t most) const {
@@ -272,6 +297,7 @@
   part.runs.emplace(index, run);
   part.next = std::max(part.next, attempt.next());
   ++job.runs_count;
+  ++counters_.placed;
   touch(job, index / constants::kTasksPerPart);
   spdlog::info("task {} attempt {} is placed on {}", TaskKey{job.spec.id, index}.text(), attempt.number(), machine.id.text());
 }
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -343,6 +343,8 @@
 
 void Engine::end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now) {
   if (!leading_) return;
+  ++counters_.writes;
+  if (result.answer != state::Answer::ok) ++counters_.writes_failed;
   const auto failed = [&](const std::string& key) {
     return std::ranges::find(result.failed, key) != result.failed.end();
   };
@@ -406,7 +408,6 @@
         break;
     }
   }
-  plan_wanted_ = true;
 }
 
 }  // namespace foxshunt::control
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -169,7 +169,7 @@
   const auto entry = machines_.find(report.machine);
   if (entry == machines_.end()) return true;
   const bool any_ended = std::ranges::any_of(report.tasks, [](const wire::TaskReport& task) { return task.state == TaskState::ended; });
-  if (any_ended && plan_wanted_) return false;
+  if (any_ended && plan_wanted()) return false;
   return std::ranges::all_of(report.tasks, [&](const wire::TaskReport& task) {
     return task.state != TaskState::ended || forgettable(task.task);
   }) && std::ranges::all_of(entry->second.runs, [&](const TaskKey& key) {
@@ -212,6 +212,7 @@
     return std::nullopt;
   }
   if (!may_answer(now)) return std::nullopt;
+  ++counters_.reports;
   std::vector<Command> commands;
   // Its return was confirmed, so this report was held up on its way.
   if (gone_machines_.contains(report.machine)) return commands;
--- a/src/node/cloud.cpp
+++ b/src/node/cloud.cpp
@@ -62,7 +62,7 @@
     const std::lock_guard lock(context_.view_mutex);
     context_.types = types;
   }
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
   context_.engine.on_types(types);
 }
 
@@ -104,21 +104,21 @@
     }
   }
   next_list_ = net::Clock::now() + constants::kListEvery;
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
   context_.engine.on_machine_list(machines, now());
 }
 
 void CloudDuty::rent() {
   std::optional<wire::RentRequest> request;
   {
-    const std::lock_guard lock(context_.engine_mutex);
+    const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
     request = context_.engine.next_rental(now());
   }
   if (!request) return;
   const wire::Value body = wire::to_value(*request);
   const Answer answer = call("POST", "/machines", &body);
   const std::string* why = answer.body["error"].as_text();
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
   if (answer.status == 200) {
     try {
       context_.engine.on_rented(*request, wire::machine_names_from(answer.body), now());
@@ -134,14 +134,14 @@
 void CloudDuty::give_back() {
   std::vector<MachineId> names;
   {
-    const std::lock_guard lock(context_.engine_mutex);
+    const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
     names = context_.engine.next_returns(now());
   }
   if (names.empty()) return;
   const wire::Value body = wire::machine_names(names);
   const Answer answer = call("POST", "/machines/return", &body);
   if (answer.status != 200) return;
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
   context_.engine.on_returned(names, now());
   context_.plan_signal.raise();
 }
@@ -157,7 +157,7 @@
     bool leading = false;
     bool wanted = false;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::cloud));
       leading = context_.engine.leading();
       wanted = leading && context_.engine.cloud_wanted();
     }
@@ -210,7 +210,7 @@
     std::vector<control::DirectHalt> due;
     Term term;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::reports));
       due = std::exchange(context_.halts, {});
       term = context_.engine.term();
     }
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -47,7 +47,7 @@
       engine(from) {}
 
 bool Context::wait_to_lead(const std::stop_token& stop) {
-  std::unique_lock lock(engine_mutex);
+  std::unique_lock lock(engine_mutex.of(Duty::planning));
   return led.wait(lock, stop, [this] { return engine.leading(); });
 }
 
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "control/engine.h"
 #include "net/socket.h"
+#include "node/duty_mutex.h"
 #include "state/budget.h"
 
 namespace foxshunt::node {
@@ -42,7 +43,7 @@
   net::Address cloud_address;
   state::RateBudget budget;
 
-  std::mutex engine_mutex;   // never held across I/O
+  DutyMutex engine_mutex;    // never held across I/O
   std::condition_variable_any engine_moved;   // with engine_mutex: a write or a planning pass has ended
   control::Engine engine;
   Signal plan_signal;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -119,7 +119,7 @@
                              .parts = std::move(parts.entries),
                              .wall_ms = wall};
   {
-    const std::lock_guard lock(context_.engine_mutex);
+    const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
     context_.engine.lead(takeover, began);
     context_.follow_from = live.revision;
   }
@@ -133,17 +133,17 @@
 void LeaderDuty::hold(const std::stop_token& stop) {
   while (!stop.stop_requested()) {
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
       if (!context_.engine.leading()) break;
     }
     const plan::Instant sent = now();
     const Answer answer = client_.touch(lease_, call_limit());
     if (answer == Answer::ok) {
       context_.heard_state();
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
       context_.engine.confirm_lease(sent);
     } else if (answer == Answer::not_found) {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
       context_.engine.resign("its lease has ended");
       break;
     }
@@ -151,7 +151,7 @@
     pause(stop, answer == Answer::ok ? constants::kLeaderRenew : constants::kStateRetryPause);
   }
   {
-    const std::lock_guard lock(context_.engine_mutex);
+    const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
     context_.engine.resign("this node stops leading");
   }
   (void)client_.revoke(lease_, call_limit());
@@ -171,7 +171,7 @@
     Term term;
     bool leading = false;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::records));
       leading = context_.engine.leading();
       from = context_.follow_from;
       term = context_.engine.term();
@@ -195,7 +195,7 @@
     const plan::Instant at = now();
     const std::int64_t wall = wall_ms();
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::records));
       if (!context_.engine.leading() || context_.engine.term() != term) continue;
       for (const state::Event& event : news.events) {
         const auto id = state::job_of_key(event.key);
@@ -226,7 +226,7 @@
   }
   const plan::Instant at = now();
   const std::int64_t wall = wall_ms();
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::records));
   std::set<JobId> there;
   for (const state::Entry& entry : live.entries) {
     const auto id = state::job_of_key(entry.key);
@@ -253,13 +253,13 @@
   while (true) {
     std::optional<JobId> id;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::writes));
       id = context_.engine.next_reload();
     }
     if (!id) return;
     const state::GetResult live = client_.get(state::live_key(*id), call_limit());
     if (!answered(live.answer)) return;
-    const std::lock_guard lock(context_.engine_mutex);
+    const std::lock_guard lock(context_.engine_mutex.of(Duty::writes));
     context_.engine.on_reloaded(*id, live.answer == Answer::ok ? std::optional(live.entry.mark) : std::nullopt, now());
   }
 }
@@ -269,7 +269,7 @@
     reload_jobs();
     std::optional<control::WriteBatch> batch;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::writes));
       batch = context_.engine.begin_write(now());
     }
     if (!batch) {
@@ -278,14 +278,11 @@
     }
     const state::TxnResult result = client_.txn(batch->txn, call_limit());
     if (answered(result.answer)) context_.heard_state();
-    bool more = false;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::writes));
       context_.engine.end_write(*batch, result, now());
-      more = context_.engine.plan_wanted();
     }
     context_.engine_moved.notify_all();
-    if (more) context_.plan_signal.raise();
     if (!answered(result.answer)) pause(stop, constants::kStateRetryPause);
   }
 }
@@ -295,25 +292,31 @@
 void PlanDuty::run(const std::stop_token& stop) {
   while (context_.wait_to_lead(stop)) {
     context_.plan_signal.wait(stop, constants::kHousekeepEvery);
-    bool planned = false;
+    bool wanted = false;
+    {
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
+      context_.engine.tick(now());
+      wanted = context_.engine.plan_wanted();
+    }
+    // Reports, records and the lease take their turn between portions.
+    for (bool ended = !wanted; !ended && !stop.stop_requested();) {
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
+      ended = context_.engine.plan_some(now(), constants::kPlacesPerPortion);
+    }
     bool writes = false;
     bool cloud = false;
     bool halts = false;
     {
-      const std::lock_guard lock(context_.engine_mutex);
-      control::Engine& engine = context_.engine;
-      engine.tick(now());
-      planned = engine.plan_wanted();
-      if (planned) engine.plan_pass(now());
-      writes = engine.writes_wanted();
-      cloud = engine.cloud_wanted();
-      std::ranges::move(engine.due_halts(now()), std::back_inserter(context_.halts));
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
+      writes = context_.engine.writes_wanted();
+      cloud = context_.engine.cloud_wanted();
+      std::ranges::move(context_.engine.due_halts(now()), std::back_inserter(context_.halts));
       halts = !context_.halts.empty();
     }
     if (writes) context_.write_signal.raise();
     if (cloud) context_.cloud_signal.raise();
     if (halts) context_.halt_signal.raise();
-    if (!planned) continue;
+    if (!wanted) continue;
     context_.engine_moved.notify_all();
     pause(stop, constants::kPlanPause);
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,7 +92,7 @@
     bool plan = false;
     bool writes = false;
     {
-      const std::lock_guard lock(context_.engine_mutex);
+      const std::lock_guard lock(context_.engine_mutex.of(Duty::reports));
       commands = context_.engine.on_report(report, now());
       term = context_.engine.term();
       plan = context_.engine.plan_wanted();
@@ -112,7 +112,7 @@
     // The outcome of a task is answered when it is durable, and with it what may start in its place; by the next
     // report the machine would have been idle for a whole interval.
     if (writes || plan) {
-      std::unique_lock lock(context_.engine_mutex);
+      std::unique_lock lock(context_.engine_mutex.of(Duty::reports));
       if (!context_.engine.settled(report)) {
         context_.engine_moved.wait_for(lock, constants::kReportSettle, [&] { return context_.engine.settled(report); });
         const auto later = context_.engine.later_commands(report, now());
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -35,7 +35,7 @@
     return;
   }
   if (word.leader.empty() || !context_.learn_lead(word.leader, word.term)) return;
-  const std::lock_guard lock(context_.engine_mutex);
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
   context_.engine.hear_of(word.term);
 }
 
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::size_t kPlacesPerStep = 8;         // so that most passes take several steps
 constexpr Millis kStep{50};                 // of duties and workers
 constexpr Millis kLook{500};                // of followers at who leads, for want of a watch
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
@@ -111,7 +112,8 @@
   lead_duty(node);
   if (self.engine->leading()) {
     self.engine->tick(now_);
-    if (self.engine->plan_wanted()) self.engine->plan_pass(now_);
+    // A step may fall between two portions of a pass.
+    if (self.engine->plan_wanted()) (void)self.engine->plan_some(now_, kPlacesPerStep);
     follow_duty(node);
     write_duty(node);
     cloud_duty(node);
