--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -1,6 +1,7 @@
 #include "cli/client.h"
 
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -55,14 +56,11 @@
   }
 }
 
-// Prints the job's state, or why there is none.
-Exit tell(const net::HttpResponse& answer, wire::JobStatus* told) {
+// Shows the body of a good answer, or says why there is none.
+Exit show(const net::HttpResponse& answer, const std::function<void(const wire::Value&)>& good) {
   try {
     if (answer.status == 200 || answer.status == 201) {
-      const wire::JobStatus status = wire::job_status_from(wire::decode(answer.body));
-      std::cout << status.id.text() << " " << wire::name_of(status.state) << " done " << status.done << " running "
-                << status.running << std::endl;
-      if (told != nullptr) *told = status;
+      good(wire::decode(answer.body));
       return Exit::fine;
     }
     std::string why = "status " + std::to_string(answer.status);
@@ -79,6 +77,16 @@
   return answer.status == 400 || answer.status == 422 ? Exit::usage : Exit::failed;
 }
 
+// Prints the job's state, or why there is none.
+Exit tell(const net::HttpResponse& answer, wire::JobStatus* told) {
+  return show(answer, [told](const wire::Value& body) {
+    const wire::JobStatus status = wire::job_status_from(body);
+    std::cout << status.id.text() << " " << wire::name_of(status.state) << " done " << status.done << " running "
+              << status.running << std::endl;
+    if (told != nullptr) *told = status;
+  });
+}
+
 }  // namespace
 
 Exit submit(const std::string& to, const std::string& path) {
@@ -114,6 +122,29 @@
   }
 }
 
+Exit plan(const std::string& to, const std::string& job) {
+  const auto answer = ask(to, {.method = "GET", .path = "/plan/" + job, .body = {}});
+  if (!answer) return Exit::failed;
+  return show(*answer, [](const wire::Value& body) { std::cout << body.text("id") << " " << body.text("plan") << std::endl; });
+}
+
+Exit counters(const std::string& to) {
+  const auto answer = ask(to, {.method = "GET", .path = "/counters", .body = {}});
+  if (!answer) return Exit::failed;
+  return show(*answer, [](const wire::Value& body) {
+    const wire::Value::Map* entries = body.as_map();
+    if (entries == nullptr) throw wire::Malformed("must be a map");
+    for (const auto& [name, value] : *entries) {
+      std::cout << name << " ";
+      if (const auto* count = value.as_count()) std::cout << *count;
+      if (const auto* real = value.as_real()) std::cout << *real;
+      if (const auto* flag = value.as_bool()) std::cout << (*flag ? "yes" : "no");
+      if (const auto* text = value.as_text()) std::cout << *text;
+      std::cout << "\n";
+    }
+  });
+}
+
 Exit cancel(const std::string& to, const std::string& job) {
   const auto answer = ask(to, {.method = "POST", .path = "/api/jobs/" + job + "/abort", .body = {}});
   return answer ? tell(*answer, nullptr) : Exit::failed;
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -10,6 +10,10 @@
 
 [[nodiscard]] Exit submit(const std::string& to, const std::string& path);
 [[nodiscard]] Exit status(const std::string& to, const std::string& job, bool wait);
+// Why its tasks wait and when they are planned to start; only the leader knows.
+[[nodiscard]] Exit plan(const std::string& to, const std::string& job);
+// What a node counts, one name and value a line.
+[[nodiscard]] Exit counters(const std::string& to);
 [[nodiscard]] Exit cancel(const std::string& to, const std::string& job);
 
 }  // namespace foxshunt::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -65,13 +65,17 @@
   std::string job;
   std::string path;
   bool wait = false;
+  bool show_plan = false;
   CLI::App* submit_command = app.add_subcommand("submit", "submit the job of a JSON file");
   submit_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
   submit_command->add_option("file", path, "the job, with the fields of POST /api/jobs")->required();
   CLI::App* status_command = app.add_subcommand("status", "show a job's state");
   status_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
   status_command->add_option("job", job, "the job's id")->required();
-  status_command->add_flag("--wait", wait, "ask until the job is done or withdrawn");
+  CLI::Option* wait_option = status_command->add_flag("--wait", wait, "ask until the job is done or withdrawn");
+  status_command->add_flag("--plan", show_plan, "say why its tasks wait; to be asked of the leader")->excludes(wait_option);
+  CLI::App* counters_command = app.add_subcommand("counters", "show what a controller counts");
+  counters_command->add_option("--to", to, "address of the controller")->capture_default_str();
   CLI::App* cancel_command = app.add_subcommand("cancel", "withdraw a job");
   cancel_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
   cancel_command->add_option("job", job, "the job's id")->required();
@@ -96,6 +100,8 @@
       return 0;
     }
     if (submit_command->parsed()) return static_cast<int>(cli::submit(to, path));
+    if (counters_command->parsed()) return static_cast<int>(cli::counters(to));
+    if (status_command->parsed() && show_plan) return static_cast<int>(cli::plan(to, job));
     if (status_command->parsed()) return static_cast<int>(cli::status(to, job, wait));
     if (cancel_command->parsed()) return static_cast<int>(cli::cancel(to, job));
     if (serve_command->parsed()) return serve(config_path, operator_path);
--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -29,6 +29,7 @@
 inline constexpr milliseconds kServerRequestLimit = 5s;         // whole request read, or answer written
 inline constexpr milliseconds kServerIdleLimit = 75s;           // longest user poll or lease is far shorter
 inline constexpr milliseconds kAcceptPause = 20ms;              // after accept() failed for want of sockets
+inline constexpr int kRefusalsPerWarning = 100;                 // of connections: a flood is told once, and that it goes on
 inline constexpr int kConnectionReserve = 60;                   // sockets kept for outgoing calls and peers
 inline constexpr double kProcessMb = 20;                        // held without connections: 10 idle, up to 9 more at a takeover
 inline constexpr double kConnectionMb = 0.04;                   // stack pages and buffers of one that was used; 36 KiB measured
@@ -104,6 +105,11 @@
 inline constexpr milliseconds kTypesEvery = 60s;                // spot prices move slowly
 inline constexpr milliseconds kCloudRetryPause = 2s;            // after a 503 or no answer
 
+// ---- counters ----
+inline constexpr milliseconds kPeakWindow = 60s;                 // peaks are told for one to two of it
+inline constexpr milliseconds kBehind = 2s;                      // a pass or a queue this late is worth a warning
+inline constexpr milliseconds kWarnEvery = 60s;                  // of the same kind; the counters tell how often
+
 // ---- front ----
 inline constexpr int kRetryAfterSeconds = 1;                    // the least that users wait anyway
 inline constexpr milliseconds kStateSilence = 6s;               // without any answer a node can't take requests
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -44,6 +44,7 @@
   std::uint32_t done_count = 0;
   std::map<std::uint32_t, Run> runs;           // by the task's index in the job
   bool dirty = false;                          // memory is ahead of the record
+  Instant dirty_since;                         // that or the write under way
   bool in_flight = false;                      // a transaction on it is under way
 
   [[nodiscard]] bool settled() const { return !dirty && !in_flight; }
@@ -147,6 +148,19 @@
   std::uint64_t writes_failed = 0;
 };
 
+// What there is now.
+struct Census {
+  std::uint64_t jobs = 0;
+  std::uint64_t tasks_waiting = 0;
+  std::uint64_t tasks_placed = 0;
+  std::uint64_t machines_up = 0;
+  std::uint64_t machines_booting = 0;
+  std::uint64_t machines_leaving = 0;
+  std::uint64_t unwritten = 0;      // records that memory is ahead of
+  Millis unwritten_oldest{};        // for so long
+  Millis fence_left{};              // until workers' reports may no longer be answered
+};
+
 class Engine {
  public:
   explicit Engine(config::Settings settings);
@@ -207,6 +221,9 @@
   [[nodiscard]] bool cloud_wanted() const;
   [[nodiscard]] bool writes_wanted() const { return !dirty_.empty(); }
 
+  [[nodiscard]] Census census(Instant now) const;
+  // Why the job's tasks wait and when the next is planned to start, in words; nothing if no such job is known.
+  [[nodiscard]] std::optional<std::string> explain(const JobId& job, Instant now) const;
   [[nodiscard]] const Counters& counters() const { return counters_; }
   [[nodiscard]] const std::map<JobId, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const std::map<MachineId, Machine>& machines() const { return machines_; }
@@ -232,7 +249,7 @@
   // records
   Job& add_job(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, Instant now);
   void adopt_part(Job& job, std::uint32_t part, const state::PartRecord& record, Instant now);
-  void touch(Job& job, std::uint32_t part);
+  void touch(Job& job, std::uint32_t part, Instant now);
   void withdraw(Job& job, Instant now);
   void erase_job(const JobId& job);
   void add_update(Job& job, std::uint32_t part, WriteBatch& batch, Instant now);
--- /dev/null
+++ b/src/control/engine_explain.cpp
@@ -0,0 +1,64 @@
+// What operators are told of the leader's state.
+#include <algorithm>
+
+#include <spdlog/fmt/fmt.h>
+
+#include "config/constants.h"
+#include "control/engine.h"
+#include "control/times.h"
+
+namespace foxshunt::control {
+
+Census Engine::census(Instant now) const {
+  Census census;
+  census.jobs = jobs_.size();
+  for (const auto& [unused, job] : jobs_) {
+    if (!job.withdrawn) census.tasks_waiting += job.pending();
+    census.tasks_placed += job.runs_count;
+    for (const Part& part : job.parts) {
+      if (job.withdrawn || part.settled()) continue;
+      ++census.unwritten;
+      census.unwritten_oldest = std::max(census.unwritten_oldest, now - part.dirty_since);
+    }
+  }
+  for (const auto& [unused, machine] : machines_) {
+    switch (machine.state) {
+      case MachineState::up: ++census.machines_up; break;
+      case MachineState::booting: ++census.machines_booting; break;
+      default: ++census.machines_leaving; break;
+    }
+  }
+  census.fence_left = std::max(Millis(0), std::min(lease_confirmed_, read_confirmed_) + fence_span(settings_) - now);
+  return census;
+}
+
+std::optional<std::string> Engine::explain(const JobId& id, Instant now) const {
+  const auto entry = jobs_.find(id);
+  if (!leading_ || entry == jobs_.end()) return std::nullopt;
+  const Job& job = entry->second;
+  if (job.withdrawn) return fmt::format("withdrawn; {} tasks are being stopped", job.runs_count);
+  const std::uint32_t waiting = job.pending();
+  if (waiting == 0) return fmt::format("all tasks that are not done are placed: {}", job.runs_count);
+  std::string text = fmt::format("{} of {} tasks wait", waiting, job.spec.tasks);
+  if (job.not_before > now) {
+    return text + fmt::format("; they failed and are tried again in {:.0f} s", to_seconds(job.not_before - now));
+  }
+  const bool gang = job.spec.kind == wire::JobKind::gang;
+  if (gang && job.runs_count > 0) return text + "; the gang starts again when nothing of its attempt before is left";
+  if (!may_start(now)) return text + "; nothing is started while the state service does not answer";
+  if (!quota_for(job, gang ? waiting : 1)) return text + "; its team's limit is used up";
+  if (job.planned_start) {
+    text += fmt::format("; the first is booked to start in {:.0f} s", to_seconds(std::max(Millis(0), *job.planned_start - now)));
+    if (job.late_tasks > 0) text += fmt::format(", {} of them later than a machine rented now would let them", job.late_tasks);
+  } else {
+    text += "; no machine that is up or boots has room for it";
+  }
+  if (!settings_.operators.may_rent) {
+    text += "; the settings forbid renting";
+  } else if (rental_ || !wanted_.empty()) {
+    text += "; machines are being rented";
+  }
+  return text;
+}
+
+}  // namespace foxshunt::control
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -216,12 +216,12 @@
   for (const plan::Placing& placing : placings) {
     planned += placing.count;
     if (placing.start > patient_until + constants::kTick) job.late_tasks += placing.count;
-    if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
   }
   if (planned < request.count) job.late_tasks += request.count - planned;
   if (place_due(job, placings, now) && gang) return places;
   for (const plan::Placing& placing : placings) {
     if (placing.start <= now && machines_.at(placing.machine).state == MachineState::up) continue;
+    if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
     job.booked.push_back(planner_.book({.machine = placing.machine,
                                         .team = job.spec.team,
                                         .amounts = job.each.times(placing.count),
@@ -298,7 +298,7 @@
   part.next = std::max(part.next, attempt.next());
   ++job.runs_count;
   ++counters_.placed;
-  touch(job, index / constants::kTasksPerPart);
+  touch(job, index / constants::kTasksPerPart, now);
   spdlog::info("task {} attempt {} is placed on {}", TaskKey{job.spec.id, index}.text(), attempt.number(), machine.id.text());
 }
 
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -209,9 +209,11 @@
   plan_wanted_ = true;
 }
 
-void Engine::touch(Job& job, std::uint32_t part) {
-  job.parts[part].dirty = true;
-  if (!job.withdrawn || job.runs_count == 0) dirty_.insert({job.spec.id, job.withdrawn ? 0 : part});
+void Engine::touch(Job& job, std::uint32_t number, Instant now) {
+  Part& part = job.parts[number];
+  if (part.settled()) part.dirty_since = now;
+  part.dirty = true;
+  if (!job.withdrawn || job.runs_count == 0) dirty_.insert({job.spec.id, job.withdrawn ? 0 : number});
 }
 
 void Engine::erase_job(const JobId& id) {
@@ -370,6 +372,7 @@
       if (result.answer == state::Answer::conflict && lost) job.reload = true;
       continue;
     }
+    if (part.dirty) part.dirty_since = now;   // what has come meanwhile waits for the next write
     switch (item.kind) {
       case WriteItem::Kind::update:
         if (job.parts.size() == 1) {
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -46,7 +46,7 @@
     Millis& saved = job.saved[index];
     saved += std::max(Millis(0), now - *run.running_since) / step * step;
   }
-  touch(job, number);
+  touch(job, number, now);
   plan_wanted_ = true;
 }
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -184,6 +184,8 @@
 
   [[nodiscard]] Address address() const { return local_address(listener_); }
   [[nodiscard]] int open_connections() const { return open_; }
+  [[nodiscard]] int max_connections() const { return max_connections_; }
+  [[nodiscard]] std::uint64_t refused_connections() const { return refused_; }
 
  private:
   struct Connection {
@@ -202,6 +204,9 @@
       Socket socket(fd);
       reap();
       if (open_ >= max_connections_) {
+        if (refused_++ % constants::kRefusalsPerWarning == 0) {
+          spdlog::warn("connections are refused: {} are open, as many as the limits allow", open_.load());
+        }
         static constexpr std::string_view kFull =
             "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
         (void)socket.write_all(kFull.data(), kFull.size(), Clock::now());
@@ -250,6 +255,7 @@
   Socket listener_;
   int max_connections_;
   std::atomic<int> open_{0};
+  std::atomic<std::uint64_t> refused_{0};
   std::mutex mutex_;
   std::list<Connection> live_;
   std::list<Connection> finished_;
@@ -261,6 +267,8 @@
 HttpServer::~HttpServer() = default;
 Address HttpServer::address() const { return impl_->address(); }
 int HttpServer::open_connections() const { return impl_->open_connections(); }
+int HttpServer::max_connections() const { return impl_->max_connections(); }
+std::uint64_t HttpServer::refused_connections() const { return impl_->refused_connections(); }
 
 class HttpClient::Impl final : private httplib::ClientImpl {
  public:
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -37,6 +37,8 @@
 
   [[nodiscard]] Address address() const;
   [[nodiscard]] int open_connections() const;
+  [[nodiscard]] int max_connections() const;
+  [[nodiscard]] std::uint64_t refused_connections() const;
 
  private:
   class Impl;
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "control/engine.h"
 #include "net/socket.h"
+#include "node/counters.h"
 #include "node/duty_mutex.h"
 #include "state/budget.h"
 
@@ -42,6 +43,8 @@
   net::Address state_address;
   net::Address cloud_address;
   state::RateBudget budget;
+  const net::Clock::time_point began = net::Clock::now();
+  Tallies tallies;
 
   DutyMutex engine_mutex;    // never held across I/O
   std::condition_variable_any engine_moved;   // with engine_mutex: a write or a planning pass has ended
--- /dev/null
+++ b/src/node/counters.cpp
@@ -0,0 +1,132 @@
+#include "node/counters.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "control/times.h"
+#include "node/context.h"
+#include "node/front.h"
+
+namespace foxshunt::node {
+namespace {
+
+using RealSeconds = std::chrono::duration<double>;
+
+double processor_s() {
+  rusage use{};
+  ::getrusage(RUSAGE_SELF, &use);
+  const auto seconds = [](const timeval& time) { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6; };
+  return seconds(use.ru_utime) + seconds(use.ru_stime);
+}
+
+double resident_mb() {
+  std::ifstream pages("/proc/self/statm");
+  std::uint64_t all = 0;
+  std::uint64_t resident = 0;
+  pages >> all >> resident;
+  return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1024.0 * 1024.0);
+}
+
+std::uint64_t count_ms(std::chrono::milliseconds span) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count())); }
+
+}  // namespace
+
+void Tallies::answered(Kind kind, int status, RecentPeak::Clock::duration after) {
+  Requests& requests = requests_[static_cast<std::size_t>(kind)];
+  ++requests.all;
+  if (status == 503 || status == 429) {
+    ++requests.refused;
+  } else if (status >= 400 && status < 500 && status != 421) {
+    ++requests.bad;
+  }
+  const std::lock_guard lock(mutex_);
+  answers_[static_cast<std::size_t>(kind)].note(after, RecentPeak::Clock::now());
+}
+
+void Tallies::planned(RecentPeak::Clock::duration took) {
+  const std::lock_guard lock(mutex_);
+  passes_.note(took, RecentPeak::Clock::now());
+}
+
+std::chrono::milliseconds Tallies::slowest(Kind kind) {
+  const std::lock_guard lock(mutex_);
+  return answers_[static_cast<std::size_t>(kind)].longest(RecentPeak::Clock::now());
+}
+
+std::chrono::milliseconds Tallies::longest_pass() {
+  const std::lock_guard lock(mutex_);
+  return passes_.longest(RecentPeak::Clock::now());
+}
+
+net::HttpResponse counters_answer(Context& context, const net::HttpServer& server) {
+  Tallies& tallies = context.tallies;
+  wire::Value::Map body{
+      {"node", context.settings.name.text()},
+      {"up_s", std::chrono::duration_cast<RealSeconds>(net::Clock::now() - context.began).count()},
+      {"processor_s", processor_s()},
+      {"processor_allowed", context.settings.cpu_share},
+      {"resident_mb", resident_mb()},
+      {"resident_allowed_mb", context.settings.ram_mb},
+      {"connections", server.open_connections()},
+      {"connections_most", server.max_connections()},
+      {"connections_refused", server.refused_connections()},
+      {"state_silent_ms", count_ms(std::chrono::ceil<std::chrono::milliseconds>(context.state_silent_for()))},
+  };
+  for (const auto& [kind, name] : {std::pair{Tallies::Kind::report, "reports"}, std::pair{Tallies::Kind::user, "users_requests"}}) {
+    const Tallies::Requests& requests = tallies.of(kind);
+    body.emplace_back(name, requests.all.load());
+    body.emplace_back(std::string(name) + "_refused", requests.refused.load());
+    body.emplace_back(std::string(name) + "_bad", requests.bad.load());
+    body.emplace_back(std::string(name) + "_slowest_ms", count_ms(tallies.slowest(kind)));
+  }
+  constexpr std::array<const char*, kDuties> kNames{"lease", "reports", "records", "writes", "cloud", "planning", "counting"};
+  const auto waits = context.engine_mutex.longest_waits();
+  for (std::size_t duty = 0; duty < kDuties; ++duty) {
+    body.emplace_back(std::string("wait_") + kNames[duty] + "_ms", count_ms(waits[duty]));
+  }
+  const std::lock_guard lock(context.engine_mutex.of(Duty::counting));
+  const control::Engine& engine = context.engine;
+  body.emplace_back("leads", engine.leading());
+  if (engine.leading()) {
+    const plan::Instant at = now();
+    const control::Census census = engine.census(at);
+    const control::Counters& done = engine.counters();
+    body.emplace_back("term", engine.term().number());
+    body.emplace_back("fence_left_ms", count_ms(census.fence_left));
+    body.emplace_back("jobs", census.jobs);
+    body.emplace_back("tasks_waiting", census.tasks_waiting);
+    body.emplace_back("tasks_placed", census.tasks_placed);
+    body.emplace_back("machines_up", census.machines_up);
+    body.emplace_back("machines_booting", census.machines_booting);
+    body.emplace_back("machines_leaving", census.machines_leaving);
+    body.emplace_back("unwritten", census.unwritten);
+    body.emplace_back("unwritten_oldest_ms", count_ms(census.unwritten_oldest));
+    body.emplace_back("writes", done.writes);
+    body.emplace_back("writes_failed", done.writes_failed);
+    body.emplace_back("passes", done.passes);
+    body.emplace_back("passes_portions", done.portions);
+    body.emplace_back("passes_jobs", done.jobs_planned);
+    body.emplace_back("passes_longest_ms", count_ms(tallies.longest_pass()));
+    body.emplace_back("tasks_started", done.placed);
+  }
+  return {.status = 200, .body = wire::encode(body), .retry_after_s = {}};
+}
+
+net::HttpResponse plan_answer(Context& context, const std::string& job) {
+  if (!wire::is_job_id(job)) return plain_error(404, "no such job");
+  {
+    const std::lock_guard lock(context.engine_mutex.of(Duty::counting));
+    if (context.engine.leading()) {
+      const auto why = context.engine.explain(JobId(job), now());
+      if (!why) return plain_error(404, "no such job is known to the leader");
+      return {.status = 200, .body = wire::encode(wire::Value::Map{{"id", job}, {"plan", *why}}), .retry_after_s = {}};
+    }
+  }
+  const std::lock_guard lock(context.view_mutex);
+  if (context.leader.empty()) return come_back("nobody leads now");
+  return plain_error(421, "only the leader plans: " + context.leader.text());
+}
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/counters.h
@@ -0,0 +1,44 @@
+// What an operator can read from a running node: GET /counters, and why a job waits: GET /plan/<job>.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <mutex>
+
+#include "net/http.h"
+#include "node/duty_mutex.h"
+#include "node/recent_peak.h"
+
+namespace foxshunt::node {
+
+struct Context;
+
+// Counted as it happens; reading them costs the node next to nothing.
+class Tallies {
+ public:
+  enum class Kind : std::uint8_t { report, user };
+
+  // A request was answered with this status after this time.
+  void answered(Kind kind, int status, RecentPeak::Clock::duration after);
+  void planned(RecentPeak::Clock::duration took);
+
+  struct Requests {
+    std::atomic<std::uint64_t> all{0};
+    std::atomic<std::uint64_t> refused{0};   // 503 and 429
+    std::atomic<std::uint64_t> bad{0};       // other 4xx, but not 421, which sends a worker to the leader
+  };
+  [[nodiscard]] const Requests& of(Kind kind) const { return requests_[static_cast<std::size_t>(kind)]; }
+  [[nodiscard]] std::chrono::milliseconds slowest(Kind kind);
+  [[nodiscard]] std::chrono::milliseconds longest_pass();
+
+ private:
+  std::array<Requests, 2> requests_;
+  std::mutex mutex_;
+  std::array<RecentPeak, 2> answers_;
+  RecentPeak passes_;
+};
+
+[[nodiscard]] net::HttpResponse counters_answer(Context& context, const net::HttpServer& server);
+[[nodiscard]] net::HttpResponse plan_answer(Context& context, const std::string& job);
+
+}  // namespace foxshunt::node
--- a/src/node/duty_mutex.cpp
+++ b/src/node/duty_mutex.cpp
@@ -19,12 +19,12 @@
 void DutyMutex::Door::lock() {
   std::unique_lock lock(mutex_->mutex_);
   if (mutex_->taken_ || mutex_->behind(rank_)) {
-    const auto since = std::chrono::steady_clock::now();
+    const auto since = RecentPeak::Clock::now();
     ++mutex_->waiting_[rank_];
     turn_.wait(lock, [this] { return !mutex_->taken_ && !mutex_->behind(rank_); });
     --mutex_->waiting_[rank_];
-    auto& longest = mutex_->longest_[rank_];
-    longest = std::max(longest, std::chrono::steady_clock::now() - since);
+    const auto now = RecentPeak::Clock::now();
+    mutex_->waits_[rank_].note(now - since, now);
   }
   mutex_->taken_ = true;
 }
@@ -44,14 +44,11 @@
   return waiting_[static_cast<std::size_t>(duty)] > 0;
 }
 
-std::array<std::chrono::milliseconds, kDuties> DutyMutex::take_longest_waits() {
+std::array<std::chrono::milliseconds, kDuties> DutyMutex::longest_waits() {
   const std::lock_guard lock(mutex_);
-  std::array<std::chrono::milliseconds, kDuties> waits{};
-  for (std::size_t rank = 0; rank < kDuties; ++rank) {
-    waits[rank] = std::chrono::ceil<std::chrono::milliseconds>(longest_[rank]);
-    longest_[rank] = {};
-  }
-  return waits;
+  std::array<std::chrono::milliseconds, kDuties> longest{};
+  for (std::size_t rank = 0; rank < kDuties; ++rank) longest[rank] = waits_[rank].longest(RecentPeak::Clock::now());
+  return longest;
 }
 
 }  // namespace foxshunt::node
--- a/src/node/duty_mutex.h
+++ b/src/node/duty_mutex.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <mutex>
 
+#include "node/recent_peak.h"
+
 namespace foxshunt::node {
 
 // In the order in which they matter when a node is behind.
@@ -32,8 +34,8 @@
   DutyMutex();
   Door& of(Duty duty) { return doors_[static_cast<std::size_t>(duty)]; }
   [[nodiscard]] bool awaited_by(Duty duty);
-  // The longest that each duty has waited since this was last asked.
-  [[nodiscard]] std::array<std::chrono::milliseconds, kDuties> take_longest_waits();
+  // The longest that each duty has waited of late.
+  [[nodiscard]] std::array<std::chrono::milliseconds, kDuties> longest_waits();
 
  private:
   // Whether somebody more urgent waits.
@@ -42,7 +44,7 @@
   std::mutex mutex_;   // held for a few instructions only
   bool taken_ = false;
   std::array<std::size_t, kDuties> waiting_{};
-  std::array<std::chrono::steady_clock::duration, kDuties> longest_{};
+  std::array<RecentPeak, kDuties> waits_;
   std::array<Door, kDuties> doors_;
 };
 
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -299,6 +299,7 @@
       wanted = context_.engine.plan_wanted();
     }
     // Reports, records and the lease take their turn between portions.
+    const auto began = net::Clock::now();
     for (bool ended = !wanted; !ended && !stop.stop_requested();) {
       const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
       ended = context_.engine.plan_some(now(), constants::kPlacesPerPortion);
@@ -306,17 +307,29 @@
     bool writes = false;
     bool cloud = false;
     bool halts = false;
+    control::Census census;
     {
       const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
       writes = context_.engine.writes_wanted();
       cloud = context_.engine.cloud_wanted();
       std::ranges::move(context_.engine.due_halts(now()), std::back_inserter(context_.halts));
       halts = !context_.halts.empty();
+      if (wanted) census = context_.engine.census(now());
+    }
+    if (census.unwritten_oldest > constants::kBehind && late_write_.due(net::Clock::now())) {
+      spdlog::warn("behind: {} records are to be written, the oldest for {:.1f} s", census.unwritten,
+                   control::to_seconds(census.unwritten_oldest));
     }
     if (writes) context_.write_signal.raise();
     if (cloud) context_.cloud_signal.raise();
     if (halts) context_.halt_signal.raise();
     if (!wanted) continue;
+    const auto ended_at = net::Clock::now();
+    context_.tallies.planned(ended_at - began);
+    if (ended_at - began > constants::kBehind && late_pass_.due(ended_at)) {
+      spdlog::warn("behind: a planning pass took {:.1f} s; placements are late",
+                   std::chrono::duration<double>(ended_at - began).count());
+    }
     context_.engine_moved.notify_all();
     pause(stop, constants::kPlanPause);
   }
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -59,6 +59,8 @@
 
  private:
   Context& context_;
+  Seldom late_pass_;
+  Seldom late_write_;
 };
 
 }  // namespace foxshunt::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -43,6 +43,7 @@
       peer_server_.emplace(address_of(settings.peer_listen, "peer_listen"), constants::kPeerConnectionsMost,
                            [this](const HttpRequest& request) { return tell_lead(context_, request); });
     }
+    started_ = true;
     spdlog::info("{} serves at {}", settings.name.text(), server_.address().text());
   }
 
@@ -66,10 +67,25 @@
   }
 
   HttpResponse handle(const HttpRequest& request) {
+    const auto began = net::Clock::now();
+    const HttpResponse answer = answer_to(request);
+    const bool report = request.path == "/checkin";
+    if (report || request.path.starts_with("/api/")) {
+      context_.tallies.answered(report ? Tallies::Kind::report : Tallies::Kind::user, answer.status, net::Clock::now() - began);
+    }
+    return answer;
+  }
+
+  HttpResponse answer_to(const HttpRequest& request) {
     static constexpr std::string_view kJobs = "/api/jobs";
+    static constexpr std::string_view kPlan = "/plan/";
     const std::string& path = request.path;
     if (request.method == "POST" && path == "/checkin") return check_in(request.body);
     if (request.method == "GET" && path == "/up") return front_.up();
+    if (request.method == "GET" && path == "/counters") {
+      return started_ ? counters_answer(context_, server_) : come_back("the node is starting");
+    }
+    if (request.method == "GET" && path.starts_with(kPlan)) return plan_answer(context_, path.substr(kPlan.size()));
     if (request.method == "POST" && path == kJobs) return front_.submit(request.body);
     if (path.starts_with(kJobs) && path.size() > kJobs.size() + 1 && path[kJobs.size()] == '/') {
       const std::string rest = path.substr(kJobs.size() + 1);
@@ -135,6 +151,7 @@
   HaltDuty halt_;
   PeerDuty peers_;
   std::vector<std::jthread> duties_;
+  std::atomic<bool> started_{false};   // requests come before the server's constructor has ended
   net::HttpServer server_;
   std::optional<net::HttpServer> peer_server_;
 };
--- a/tests/smoke/smoke_test.cpp
+++ b/tests/smoke/smoke_test.cpp
@@ -70,6 +70,26 @@
   EXPECT_EQ(run("cancel " + to(cluster, 2) + "j-000003").out, "j-000003 withdrawn done 0 running 0\n");
   EXPECT_EQ(run("status " + to(cluster, 0) + "j-000003").out, "j-000003 withdrawn done 0 running 0\n");
 
+  // Any node tells what it counts, the leader also why a job waits.
+  std::size_t leaders = 0;
+  const wire::JobSpec broad = job("j-000005", 90);   // more than the team may run at once
+  cluster.cloud().upload(broad, 0.3);
+  EXPECT_EQ(run("submit " + to(cluster, 1) + job_file(cluster, broad)).code, 0);
+  for (std::size_t node = 0; node < 3; ++node) {
+    ran = run("counters " + to(cluster, node));
+    EXPECT_EQ(ran.code, 0) << ran.out;
+    EXPECT_NE(ran.out.find("node node-" + std::to_string(node) + "\n"), std::string::npos) << ran.out;
+    const bool leads = ran.out.find("leads yes\n") != std::string::npos;
+    EXPECT_EQ(ran.out.find("unwritten_oldest_ms ") != std::string::npos, leads) << ran.out;
+    EXPECT_EQ(run("status --plan " + to(cluster, node) + "j-999999").code, leads ? 3 : 1);
+    ran = run("status --plan " + to(cluster, node) + "j-000005");
+    EXPECT_EQ(ran.code, leads ? 0 : 1) << ran.out;
+    EXPECT_EQ(ran.out.find("only the leader plans: node-") != std::string::npos, !leads) << ran.out;
+    if (leads) ++leaders;
+  }
+  EXPECT_EQ(leaders, 1U);
+  EXPECT_EQ(run("cancel " + to(cluster, 0) + "j-000005").code, 0);
+
   // All nodes end; what was accepted is still there, and what runs is not started again.
   const wire::JobSpec later = job("j-000004", 2);
   cluster.cloud().upload(later, 3);
@@ -117,6 +137,10 @@
   EXPECT_EQ(status_of(wire::encode(wire::to_value(bad))), 422);
   EXPECT_EQ(post(node, "/checkin", "nonsense").status, 400);
   EXPECT_EQ(post(node, "/nowhere", "").status, 404);
+  EXPECT_EQ(post(node, "/counters", "").status, 404);
+  EXPECT_EQ(post(node, "/plan/j-000009", "").status, 404);
+  EXPECT_EQ(run("status --plan " + to(cluster, 0) + "nonsense").code, 3);
+  EXPECT_EQ(run("status --plan --wait " + to(cluster, 0) + "j-000009").code, 2);
   EXPECT_EQ(post(node, "/api/jobs/" + std::string(4000, 'a') + "/abort", "").status, 400);
   EXPECT_EQ(post(node, "/api/jobs/j-000009/abort", "").status, 404);
 
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -238,5 +238,44 @@
   EXPECT_FALSE(engine_.may_answer(now_));
 }
 
+// What operators are told.
+TEST_F(Leading, ExplainsWhyAJobWaits) {
+  EXPECT_FALSE(engine_.explain(kJob, now_)) << "it does not lead";
+  lead();
+  EXPECT_FALSE(engine_.explain(kJob, now_)) << "it knows no such job";
+  submit(job_of(20));   // of 4 CPUs each; the team may have 64
+  EXPECT_EQ(engine_.explain(kJob, now_), "20 of 20 tasks wait; no machine that is up or boots has room for it; the settings forbid renting");
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  EXPECT_EQ(placed(), 4U);
+  EXPECT_EQ(engine_.explain(kJob, now_),
+            "16 of 20 tasks wait; the first is booked to start in 60 s, 16 of them later than a machine rented now would "
+            "let them; the settings forbid renting");
+  now_ += Millis(60'000);
+  EXPECT_EQ(engine_.explain(kJob, now_), "16 of 20 tasks wait; nothing is started while the state service does not answer");
+}
+
+TEST_F(Leading, CountsWhatIsNotWrittenYetAndSinceWhen) {
+  lead();
+  EXPECT_EQ(engine_.census(now_).unwritten, 0U);
+  submit(job_of(2));
+  (void)report(kFirst, 1, Term(7));
+  engine_.plan_pass(now_);
+  now_ += Millis(700);
+  control::Census census = engine_.census(now_);
+  EXPECT_EQ(census.tasks_placed, 2U);
+  EXPECT_EQ(census.machines_up, 1U);
+  EXPECT_EQ(census.unwritten, 1U);
+  EXPECT_EQ(census.unwritten_oldest, Millis(700));
+  ASSERT_TRUE(write(state::Answer::none));   // it may be written, or not
+  now_ += Millis(300);
+  EXPECT_EQ(engine_.census(now_).unwritten_oldest, Millis(1000));
+  ASSERT_TRUE(write());
+  census = engine_.census(now_);
+  EXPECT_EQ(census.unwritten, 0U);
+  EXPECT_EQ(census.unwritten_oldest, Millis(0));
+  EXPECT_GT(census.fence_left, Millis(0));
+}
+
 }  // namespace
 }  // namespace foxshunt::control
