--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -103,11 +103,19 @@
 
 bool LeaderDuty::load(Revision term_mark, Term term, std::int64_t others_until_wall_ms) {
   const plan::Instant began = now();
-  state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit);
+  // The lease goes on while a day's records are read: with a slow state service that takes longer than it lasts.
+  plan::Instant renewed = began;
+  const auto renew = [&] {
+    const plan::Instant sent = now();
+    if (client_.touch(lease_, call_limit()) == Answer::ok) renewed = sent;
+  };
+  state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit, renew);
   if (live.answer != Answer::ok) return false;
-  state::ListResult linger = client_.list(state::kLingerPrefix, constants::kStateCallLimit);
+  renew();
+  state::ListResult linger = client_.list(state::kLingerPrefix, constants::kStateCallLimit, renew);
   if (linger.answer != Answer::ok) return false;
-  state::ListResult parts = client_.list(state::kPartPrefix, constants::kStateCallLimit);
+  renew();
+  state::ListResult parts = client_.list(state::kPartPrefix, constants::kStateCallLimit, renew);
   if (parts.answer != Answer::ok) return false;
   const plan::Instant at = now();
   const std::int64_t wall = wall_ms();
@@ -121,6 +129,7 @@
   {
     const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
     context_.engine.lead(takeover, began);
+    context_.engine.confirm_lease(renewed);
     context_.follow_from = live.revision;
   }
   context_.learn_lead(context_.settings.name, term);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -62,12 +62,16 @@
   return result;
 }
 
-ListResult Client::list(const std::string& prefix, std::chrono::milliseconds page_limit) {
+ListResult Client::list(const std::string& prefix, std::chrono::milliseconds page_limit,
+                        const std::function<void()>& between) {
   ListResult result;
   std::string from;
   while (true) {
     std::string path = "/kv?starts=" + prefix;
-    if (!from.empty()) path += "&from=" + from;
+    if (!from.empty()) {
+      path += "&from=" + from;
+      if (between) between();
+    }
     path += "&most=" + std::to_string(constants::kStateItemsMost);
     const Raw raw = call("GET", path, nullptr, 0, net::Clock::now() + page_limit);
     result.answer = raw.answer;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -1,6 +1,8 @@
 // A client of the state service.
 #pragma once
 
+#include <functional>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,8 +22,9 @@
   Client(net::Address to, RateBudget& budget, Urgency urgency);
 
   [[nodiscard]] GetResult get(const std::string& key, net::Deadline until);
-  // All keys with the prefix, page by page.
-  [[nodiscard]] ListResult list(const std::string& prefix, std::chrono::milliseconds page_limit);
+  // All keys with the prefix, page by page; `between` is called before each page but the first.
+  [[nodiscard]] ListResult list(const std::string& prefix, std::chrono::milliseconds page_limit,
+                                const std::function<void()>& between = {});
   [[nodiscard]] TxnResult txn(const Txn& txn, net::Deadline until);
   [[nodiscard]] std::optional<LeaseId> grant(std::chrono::milliseconds ttl, net::Deadline until);
   [[nodiscard]] Answer touch(LeaseId lease, net::Deadline until);
--- a/tests/standins/http_world.cpp
+++ b/tests/standins/http_world.cpp
@@ -20,10 +20,23 @@
 
 // ---- state ----
 
-HttpState::HttpState()
-    : server_(std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 200},
+HttpState::HttpState(std::size_t page)
+    : page_(page),
+      server_(std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 200},
                                                 [this](const HttpRequest& request) { return handle(request); })) {}
 
+void HttpState::put(const std::string& key, const Value& data) {
+  const std::lock_guard lock(mutex_);
+  state::Txn txn;
+  txn.changes.push_back({.key = key, .data = data, .lease = {}});
+  (void)store_.txn(txn);
+}
+
+std::vector<std::string> HttpState::asked() {
+  const std::lock_guard lock(mutex_);
+  return asked_;
+}
+
 HttpResponse HttpState::follow(const std::map<std::string, std::string>& query) {
   const Revision from(std::stoull(query.at("from")));
   const std::string& prefix = query.at("starts");
@@ -48,16 +61,22 @@
   const std::string& path = request.path;
   if (path == "/follow") return follow(request.query);
   const std::lock_guard lock(mutex_);
+  asked_.push_back(path == "/kv" ? "list " + request.query.at("starts") : request.method + " " + path);
   store_.expire(now());
   changed_.notify_all();
   if (request.method == "GET" && path == "/kv") {
     const std::string from = request.query.contains("from") ? request.query.at("from") : "";
     Value::List items;
+    bool more = false;
     for (const state::Entry& entry : store_.list(request.query.at("starts")).entries) {
       if (entry.key <= from) continue;
+      if (items.size() == page_) {
+        more = true;
+        break;
+      }
       items.emplace_back(Value::Map{{"k", entry.key}, {"data", entry.data}, {"mark", entry.mark.number()}});
     }
-    return reply(200, Value::Map{{"items", std::move(items)}, {"more", false}, {"tally", store_.revision().number()}});
+    return reply(200, Value::Map{{"items", std::move(items)}, {"more", more}, {"tally", store_.revision().number()}});
   }
   if (request.method == "GET" && path.starts_with("/kv/")) {
     const state::GetResult found = store_.get(path.substr(4));
--- a/tests/standins/http_world.h
+++ b/tests/standins/http_world.h
@@ -18,8 +18,12 @@
 
 class HttpState {
  public:
-  HttpState();
+  // Listings come in pages of this many items.
+  explicit HttpState(std::size_t page = 1000);
   [[nodiscard]] net::Address address() const { return server_->address(); }
+  void put(const std::string& key, const wire::Value& data);
+  // What was asked so far, as `METHOD PATH` or `list PREFIX`.
+  [[nodiscard]] std::vector<std::string> asked();
 
  private:
   net::HttpResponse handle(const net::HttpRequest& request);
@@ -28,6 +32,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   StateStore store_;
+  std::size_t page_;
+  std::vector<std::string> asked_;
   std::unique_ptr<net::HttpServer> server_;
 };
 
