--- a/tests/bench/benchmarks.cpp
+++ b/tests/bench/benchmarks.cpp
@@ -1,10 +1,14 @@
 // What the leader's duties cost, by time and by work that repeats (allocations). Not part of any test's verdict:
 // build with -DFOXSHUNT_TESTS=ON and run target/tests/benchmarks.
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 #include <spdlog/spdlog.h>
 
+#include <unordered_map>
+
 #include "bench/allocations.h"
 #include "bench/busy_fleet.h"
+#include "config/constants.h"
 #include "net/http.h"
 #include "state/records.h"
 
@@ -141,6 +145,44 @@
 }
 BENCHMARK(record_decode)->Arg(8)->Arg(100);
 
+// What a leader holds, in bytes that malloc has handed out; the time says nothing.
+std::size_t held() { return mallinfo2().uordblks; }
+
+void memory_of_the_engine(benchmark::State& state) {
+  for (auto unused : state) {
+    constexpr std::size_t kMachines = 260;
+    constexpr std::size_t kJobs = 400;
+    const std::size_t empty = held();
+    BusyFleet fleet(kMachines, 0, 0);
+    const std::size_t with_machines = held();
+    const std::size_t first = fleet.engine().jobs().size();
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < kJobs; ++i) fleet.add_job(true);   // gangs of 1 to 16 tasks, none of which runs
+    const std::size_t with_jobs = held();
+    fleet.pass();
+    for (const auto& [unused_id, job] : fleet.engine().jobs()) tasks += job.runs_count;
+    const std::size_t with_runs = held();
+    state.counters["bytes_a_machine"] = static_cast<double>(with_machines - empty) / kMachines;
+    state.counters["bytes_a_job"] = static_cast<double>(with_jobs - with_machines) / static_cast<double>(fleet.engine().jobs().size() - first);
+    state.counters["bytes_a_placed_task_and_plan"] = static_cast<double>(with_runs - with_jobs) / static_cast<double>(tasks);
+    state.counters["placed"] = static_cast<double>(tasks);
+  }
+}
+BENCHMARK(memory_of_the_engine)->Iterations(1);
+
+void memory_of_a_cached_answer(benchmark::State& state) {
+  for (auto unused : state) {
+    const std::size_t before = held();
+    std::unordered_map<JobId, wire::JobStatus> answers;
+    for (std::size_t i = 0; i < constants::kTerminalCacheMost; ++i) {
+      const JobId id("j-" + std::to_string(100'000 + i));
+      answers[id] = {.id = id, .state = wire::JobState::done, .done = 3, .running = 0};
+    }
+    state.counters["bytes"] = static_cast<double>(held() - before) / static_cast<double>(answers.size());
+  }
+}
+BENCHMARK(memory_of_a_cached_answer)->Iterations(1);
+
 // One exchange over loopback on a connection that stays open; both ends are counted.
 void http_exchange(benchmark::State& state) {
   net::HttpServer server({"127.0.0.1", 0}, {.connections = 10}, [](const net::HttpRequest& request) {
