--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -125,7 +125,8 @@
 Exit plan(const std::string& to, const std::string& job) {
   const auto answer = ask(to, {.method = "GET", .path = "/plan/" + job, .body = {}});
   if (!answer) return Exit::failed;
-  return show(*answer, [](const wire::Value& body) { std::cout << body.text("id") << " " << body.text("plan") << std::endl; });
+  return show(*answer,
+              [](const wire::Value& body) { std::cout << body.text("id") << " " << body.text("plan") << std::endl; });
 }
 
 Exit counters(const std::string& to) {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -73,7 +73,8 @@
   status_command->add_option("--to", to, "address of a controller or load balancer")->capture_default_str();
   status_command->add_option("job", job, "the job's id")->required();
   CLI::Option* wait_option = status_command->add_flag("--wait", wait, "ask until the job is done or withdrawn");
-  status_command->add_flag("--plan", show_plan, "say why its tasks wait; to be asked of the leader")->excludes(wait_option);
+  status_command->add_flag("--plan", show_plan, "say why its tasks wait; to be asked of the leader")
+      ->excludes(wait_option);
   CLI::App* counters_command = app.add_subcommand("counters", "show what a controller counts");
   counters_command->add_option("--to", to, "address of the controller")->capture_default_str();
   CLI::App* cancel_command = app.add_subcommand("cancel", "withdraw a job");
--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -12,115 +12,115 @@
 using std::chrono::milliseconds;
 
 // ---- PROTOCOL's fixed figures ----
-inline constexpr std::size_t kBodyLimitBytes = 64 * 1024;       // request bodies, and answers to users
-inline constexpr std::uint64_t kTasksPerJobMost = 100'000;      // `cubs`
-inline constexpr std::uint64_t kRentCountMost = 50;             // machines a rental request may ask for
-inline constexpr std::size_t kReturnNamesMost = 100;            // names a return request may hold
-inline constexpr std::uint64_t kListMost = 500;                 // machines in one page of the cloud's list
-inline constexpr std::uint64_t kStateItemsMost = 1000;          // items in one page of a state listing
-inline constexpr milliseconds kReportAnswerLimit = 4s;          // a worker gives a report up after this
-inline constexpr double kClockDrift = 0.0005;                   // steady clocks differ by up to this share
-inline constexpr milliseconds kStateLeaseLate = 100ms;          // a state lease may end this much late
+inline constexpr std::size_t kBodyLimitBytes = 64 * 1024;   // request bodies, and answers to users
+inline constexpr std::uint64_t kTasksPerJobMost = 100'000;  // `cubs`
+inline constexpr std::uint64_t kRentCountMost = 50;         // machines a rental request may ask for
+inline constexpr std::size_t kReturnNamesMost = 100;        // names a return request may hold
+inline constexpr std::uint64_t kListMost = 500;             // machines in one page of the cloud's list
+inline constexpr std::uint64_t kStateItemsMost = 1000;      // items in one page of a state listing
+inline constexpr milliseconds kReportAnswerLimit = 4s;      // a worker gives a report up after this
+inline constexpr double kClockDrift = 0.0005;               // steady clocks differ by up to this share
+inline constexpr milliseconds kStateLeaseLate = 100ms;      // a state lease may end this much late
 
 // ---- net ----
-inline constexpr std::size_t kThreadStackBytes = 128 * 1024;    // deepest use measured is under half of it
-inline constexpr int kListenBacklog = 256;                      // connects that wait while the core is busy
-inline constexpr std::size_t kPathLimitBytes = 256;             // longest path of PROTOCOL is under 230 bytes
-inline constexpr milliseconds kServerRequestLimit = 5s;         // whole request read, or answer written
-inline constexpr milliseconds kServerIdleLimit = 75s;           // longest user poll or lease is far shorter
-inline constexpr milliseconds kAcceptPause = 20ms;              // after accept() failed for want of sockets
-inline constexpr int kRefusalsPerWarning = 100;                 // of connections: a flood is told once, and that it goes on
-inline constexpr int kConnectionReserve = 60;                   // sockets kept for outgoing calls and peers
-inline constexpr double kProcessMb = 20;                        // held without connections: 10 idle, up to 9 more at a takeover
-inline constexpr double kUsersShare = 0.5;                      // of the connections; a fleet of half of them reports undisturbed
-inline constexpr double kConnectionMb = 0.04;                   // stack pages and buffers of one that was used; 36 KiB measured
-inline constexpr std::size_t kStreamBufferBytes = 4096;         // most messages fit one read
+inline constexpr std::size_t kThreadStackBytes = 128 * 1024;  // deepest use measured is under half of it
+inline constexpr int kListenBacklog = 256;                    // connects that wait while the core is busy
+inline constexpr std::size_t kPathLimitBytes = 256;           // longest path of PROTOCOL is under 230 bytes
+inline constexpr milliseconds kServerRequestLimit = 5s;       // whole request read, or answer written
+inline constexpr milliseconds kServerIdleLimit = 75s;         // longest user poll or lease is far shorter
+inline constexpr milliseconds kAcceptPause = 20ms;            // after accept() failed for want of sockets
+inline constexpr int kRefusalsPerWarning = 100;  // of connections: a flood is told once, and that it goes on
+inline constexpr int kConnectionReserve = 60;    // sockets kept for outgoing calls and peers
+inline constexpr double kProcessMb = 20;         // held without connections: 10 idle, up to 9 more at a takeover
+inline constexpr double kUsersShare = 0.5;       // of the connections; a fleet of half of them reports undisturbed
+inline constexpr double kConnectionMb = 0.04;    // stack pages and buffers of one that was used; 36 KiB measured
+inline constexpr std::size_t kStreamBufferBytes = 4096;  // most messages fit one read
 
 // ---- state ----
-inline constexpr milliseconds kStateConnectLimit = 1s;          // it is one hop away; silence means a cut
-inline constexpr milliseconds kStateCallLimit = 2s;             // answers take 10 ms, rarely a few hundred
-inline constexpr milliseconds kFrontCallLimit = 1500ms;         // users wait 2 s for a poll
-inline constexpr double kLeaderShare = 0.55;                    // of the state budgets; the rest is the others'
-inline constexpr milliseconds kFollowHold = 1500ms;             // each answer confirms what the leader has read
-inline constexpr milliseconds kStateRetryPause = 300ms;         // between tries while the state is out of reach
-
-inline constexpr std::uint32_t kTasksPerPart = 128;             // a part's record stays under 4 KiB
-inline constexpr std::size_t kRecordSpareBytes = 512;           // kept free under `value_kb` for a record's frame
-inline constexpr milliseconds kBudgetWait = 400ms;              // a poll waits this long for its turn, then 503
-inline constexpr double kFrontReserve = 0.3;                    // of a node's bucket; polls leave it to other work
-inline constexpr std::size_t kFrontClients = 6;                 // connections to the state for users' requests
+inline constexpr milliseconds kStateConnectLimit = 1s;   // it is one hop away; silence means a cut
+inline constexpr milliseconds kStateCallLimit = 2s;      // answers take 10 ms, rarely a few hundred
+inline constexpr milliseconds kFrontCallLimit = 1500ms;  // users wait 2 s for a poll
+inline constexpr double kLeaderShare = 0.55;             // of the state budgets; the rest is the others'
+inline constexpr milliseconds kFollowHold = 1500ms;      // each answer confirms what the leader has read
+inline constexpr milliseconds kStateRetryPause = 300ms;  // between tries while the state is out of reach
+
+inline constexpr std::uint32_t kTasksPerPart = 128;    // a part's record stays under 4 KiB
+inline constexpr std::size_t kRecordSpareBytes = 512;  // kept free under `value_kb` for a record's frame
+inline constexpr milliseconds kBudgetWait = 400ms;     // a poll waits this long for its turn, then 503
+inline constexpr double kFrontReserve = 0.3;           // of a node's bucket; polls leave it to other work
+inline constexpr std::size_t kFrontClients = 6;        // connections to the state for users' requests
 
 // ---- leadership ----
-inline constexpr milliseconds kLeaderLease = 4s;                // shorter than a restart, longer than a stutter
-inline constexpr milliseconds kLeaderRenew = 1s;                // three renewals may fail before the lease ends
-inline constexpr milliseconds kLeaderWatchHold = 2s;             // its answer also shows that the state is in reach
-inline constexpr milliseconds kForGood = 1h;                    // a wait that only a signal ends
-inline constexpr milliseconds kFenceMargin = 2s;                // delay of answers under way, timers that fire late
+inline constexpr milliseconds kLeaderLease = 4s;      // shorter than a restart, longer than a stutter
+inline constexpr milliseconds kLeaderRenew = 1s;      // three renewals may fail before the lease ends
+inline constexpr milliseconds kLeaderWatchHold = 2s;  // its answer also shows that the state is in reach
+inline constexpr milliseconds kForGood = 1h;          // a wait that only a signal ends
+inline constexpr milliseconds kFenceMargin = 2s;      // delay of answers under way, timers that fire late
 
 // ---- peers ----
-inline constexpr milliseconds kPeerEvery = 1s;                  // as often as a lease is renewed
-inline constexpr milliseconds kPeerSilence = 3s;                // renewals were missed; a successor may lead a second later
-inline constexpr milliseconds kPeerCallLimit = 500ms;           // siblings are one hop away
-inline constexpr int kPeerConnectionsMost = 16;                 // a few siblings ask, one connection each
+inline constexpr milliseconds kPeerEvery = 1s;         // as often as a lease is renewed
+inline constexpr milliseconds kPeerSilence = 3s;       // renewals were missed; a successor may lead a second later
+inline constexpr milliseconds kPeerCallLimit = 500ms;  // siblings are one hop away
+inline constexpr int kPeerConnectionsMost = 16;        // a few siblings ask, one connection each
 
 // ---- control ----
-inline constexpr milliseconds kShowEvery = 2s;                  // counts shown of a job in parts lag by this at most
-inline constexpr milliseconds kTick = 250ms;                    // what is due within it counts as due
-inline constexpr milliseconds kHousekeepEvery = 350ms;          // expiries are noticed this late; each look costs
-inline constexpr milliseconds kExpiryMargin = 500ms;            // a worker notices its expiry late by its timers
-inline constexpr milliseconds kAllocationLimit = 10s;           // DESIGN: a start not seen by then is replanned
-inline constexpr milliseconds kPlanHorizon = 1h;                // bookings further away tell nothing
-inline constexpr double kIdlePerBoot = 0.5;                     // idle is kept for half as long as its next boot would cost
-inline constexpr milliseconds kReturnIdleLeast = 20s;           // cloud calls are few; machines are not turned over faster
-inline constexpr milliseconds kReturnIdleUrgent = 240s;         // of machines for a class that can't wait for a boot
-inline constexpr milliseconds kDemandWindow = 240s;             // arrivals of a class are counted over this
-inline constexpr milliseconds kGpuDemandWindow = 240s;         // the peak of this is left to work with GPUs
-inline constexpr double kReserveSpread = 1.3;                   // deviations of a Poisson process that a reserve covers
-inline constexpr double kLatePriceMost = 8;                     // times the cheapest kind's price for a task, when late
-inline constexpr double kPatientPriceMost = 1.5;                // the same for a deadline that leaves time for cheaper ones
-inline constexpr double kReservePriceMost = 6;                  // the same for machines that only stand by
-inline constexpr double kBootSlack = 1.5;                       // boots are usually done within 1.5 `bootS`
-inline constexpr double kBootLost = 4.0;                        // after this many `bootS` a boot counts as lost
-inline constexpr milliseconds kCapacityPause = 20s;             // first pause after a refused rental
-inline constexpr milliseconds kCapacityPauseMost = 120s;        // refusals double the pause up to this
-inline constexpr int kMachineErrorsMost = 2;                    // errors in a row after which a machine is drained
-inline constexpr milliseconds kErrorPause = 5s;                 // first pause of a job whose tasks fail
-inline constexpr milliseconds kErrorPauseMost = 120s;           // failing jobs are tried this often for ever
-inline constexpr milliseconds kHaltRepeat = 1s;                 // direct halts are repeated until proof
-inline constexpr double kLagPerWork = 8;                        // times the span for which a job would fill the whole fleet
-inline constexpr milliseconds kLagMost = 180s;                  // bounds how long small work may pass a large job
-inline constexpr std::size_t kTasksPlannedPerPass = 500;        // of one array, as the paper does
-inline constexpr std::size_t kPlacesPerPortion = 2000;          // of a pass: some 0.3 ms of a core, ten or more at 2.4% of it
-
-inline constexpr milliseconds kReplanEvery = 2s;                // pauses of jobs and supplies end without an event
-inline constexpr milliseconds kPlanPause = 100ms;               // between passes; what came meanwhile is planned at once
-inline constexpr milliseconds kReportSettle = 600ms;            // an answer awaits the writes that its report caused
-inline constexpr milliseconds kWriteLook = 2s;                  // what wants writing is signalled; a safety net
-inline constexpr milliseconds kWritePause = 15ms;               // gathers changes for one transaction
-inline constexpr milliseconds kHaltCallLimit = 3s;              // a silent worker delays only its own halts
+inline constexpr milliseconds kShowEvery = 2s;            // counts shown of a job in parts lag by this at most
+inline constexpr milliseconds kTick = 250ms;              // what is due within it counts as due
+inline constexpr milliseconds kHousekeepEvery = 350ms;    // expiries are noticed this late; each look costs
+inline constexpr milliseconds kExpiryMargin = 500ms;      // a worker notices its expiry late by its timers
+inline constexpr milliseconds kAllocationLimit = 10s;     // DESIGN: a start not seen by then is replanned
+inline constexpr milliseconds kPlanHorizon = 1h;          // bookings further away tell nothing
+inline constexpr double kIdlePerBoot = 0.5;               // idle is kept for half as long as its next boot would cost
+inline constexpr milliseconds kReturnIdleLeast = 20s;     // cloud calls are few; machines are not turned over faster
+inline constexpr milliseconds kReturnIdleUrgent = 240s;   // of machines for a class that can't wait for a boot
+inline constexpr milliseconds kDemandWindow = 240s;       // arrivals of a class are counted over this
+inline constexpr milliseconds kGpuDemandWindow = 240s;    // the peak of this is left to work with GPUs
+inline constexpr double kReserveSpread = 1.3;             // deviations of a Poisson process that a reserve covers
+inline constexpr double kLatePriceMost = 8;               // times the cheapest kind's price for a task, when late
+inline constexpr double kPatientPriceMost = 1.5;          // the same for a deadline that leaves time for cheaper ones
+inline constexpr double kReservePriceMost = 6;            // the same for machines that only stand by
+inline constexpr double kBootSlack = 1.5;                 // boots are usually done within 1.5 `bootS`
+inline constexpr double kBootLost = 4.0;                  // after this many `bootS` a boot counts as lost
+inline constexpr milliseconds kCapacityPause = 20s;       // first pause after a refused rental
+inline constexpr milliseconds kCapacityPauseMost = 120s;  // refusals double the pause up to this
+inline constexpr int kMachineErrorsMost = 2;              // errors in a row after which a machine is drained
+inline constexpr milliseconds kErrorPause = 5s;           // first pause of a job whose tasks fail
+inline constexpr milliseconds kErrorPauseMost = 120s;     // failing jobs are tried this often for ever
+inline constexpr milliseconds kHaltRepeat = 1s;           // direct halts are repeated until proof
+inline constexpr double kLagPerWork = 8;                  // times the span for which a job would fill the whole fleet
+inline constexpr milliseconds kLagMost = 180s;            // bounds how long small work may pass a large job
+inline constexpr std::size_t kTasksPlannedPerPass = 500;  // of one array, as the paper does
+inline constexpr std::size_t kPlacesPerPortion = 2000;    // of a pass: some 0.3 ms of a core, ten or more at 2.4% of it
+
+inline constexpr milliseconds kReplanEvery = 2s;      // pauses of jobs and supplies end without an event
+inline constexpr milliseconds kPlanPause = 100ms;     // between passes; what came meanwhile is planned at once
+inline constexpr milliseconds kReportSettle = 600ms;  // an answer awaits the writes that its report caused
+inline constexpr milliseconds kWriteLook = 2s;        // what wants writing is signalled; a safety net
+inline constexpr milliseconds kWritePause = 15ms;     // gathers changes for one transaction
+inline constexpr milliseconds kHaltCallLimit = 3s;    // a silent worker delays only its own halts
 
 // ---- cloud ----
-inline constexpr milliseconds kCloudCallLimit = 5s;             // rentals take a fraction of a second
-inline constexpr milliseconds kCloudLook = 500ms;               // between tries while something is wanted of the cloud
-inline constexpr milliseconds kListEvery = 4s;                  // the list lags by more than this anyway
-inline constexpr milliseconds kTypesEvery = 60s;                // spot prices move slowly
-inline constexpr milliseconds kCloudRetryPause = 2s;            // after a 503 or no answer
+inline constexpr milliseconds kCloudCallLimit = 5s;   // rentals take a fraction of a second
+inline constexpr milliseconds kCloudLook = 500ms;     // between tries while something is wanted of the cloud
+inline constexpr milliseconds kListEvery = 4s;        // the list lags by more than this anyway
+inline constexpr milliseconds kTypesEvery = 60s;      // spot prices move slowly
+inline constexpr milliseconds kCloudRetryPause = 2s;  // after a 503 or no answer
 
 // ---- counters ----
-inline constexpr milliseconds kPeakWindow = 60s;                 // peaks are told for one to two of it
-inline constexpr milliseconds kBehind = 2s;                      // a pass or a queue this late is worth a warning
-inline constexpr milliseconds kWarnEvery = 60s;                  // of the same kind; the counters tell how often
+inline constexpr milliseconds kPeakWindow = 60s;  // peaks are told for one to two of it
+inline constexpr milliseconds kBehind = 2s;       // a pass or a queue this late is worth a warning
+inline constexpr milliseconds kWarnEvery = 60s;   // of the same kind; the counters tell how often
 
 // ---- front ----
-inline constexpr int kRetryAfterSeconds = 1;                    // the least that users wait anyway
-inline constexpr milliseconds kStateSilence = 6s;               // without any answer a node can't take requests
-inline constexpr int kConflictsMost = 4;                        // tries of a cancellation against placements
-inline constexpr std::size_t kTerminalCacheMost = 4096;         // finished jobs whose answers a node keeps
+inline constexpr int kRetryAfterSeconds = 1;             // the least that users wait anyway
+inline constexpr milliseconds kStateSilence = 6s;        // without any answer a node can't take requests
+inline constexpr int kConflictsMost = 4;                 // tries of a cancellation against placements
+inline constexpr std::size_t kTerminalCacheMost = 4096;  // finished jobs whose answers a node keeps
 
 // ---- cli ----
-inline constexpr milliseconds kCliConnectLimit = 1s;            // a controller accepts at once, or is not there
-inline constexpr milliseconds kCliCallLimit = 5s;               // PROTOCOL's users wait as long
-inline constexpr milliseconds kCliTryFor = 60s;                 // and try again for as long
-inline constexpr milliseconds kCliPollEvery = 2s;               // of `status --wait`
+inline constexpr milliseconds kCliConnectLimit = 1s;  // a controller accepts at once, or is not there
+inline constexpr milliseconds kCliCallLimit = 5s;     // PROTOCOL's users wait as long
+inline constexpr milliseconds kCliTryFor = 60s;       // and try again for as long
+inline constexpr milliseconds kCliPollEvery = 2s;     // of `status --wait`
 
 }  // namespace foxshunt::constants
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -96,7 +96,7 @@
   json document;
   try {
     document = json::parse(json_text);
-  } catch (const json::exception& error) {   // a number too large for a double is no parse error
+  } catch (const json::exception& error) {  // a number too large for a double is no parse error
     throw BadSettings(path + ": not JSON: " + error.what());
   }
   const Reader top(document, path);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -38,7 +38,7 @@
 };
 
 struct Operator {
-  double idle_return_s = 0;   // 0: foxshunt's own default
+  double idle_return_s = 0;  // 0: foxshunt's own default
   bool may_rent = true;
   bool may_return = true;
 };
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -27,25 +27,25 @@
   AttemptNo attempt;
   MachineId machine;
   SessionNo session;
-  bool durable = false;                        // written; only then may the start command be sent
+  bool durable = false;  // written; only then may the start command be sent
   bool halting = false;
   double grace_s = 0;
-  Instant halt_due;                            // when the halt is sent directly, if it is still needed
-  std::optional<wire::TaskState> seen;         // as last reported
+  Instant halt_due;                     // when the halt is sent directly, if it is still needed
+  std::optional<wire::TaskState> seen;  // as last reported
   Instant placed;
   std::optional<Instant> running_since;
   plan::BookingId booking = 0;
 };
 
 struct Part {
-  Revision mark;                               // of its own key, in a job of several parts
+  Revision mark;  // of its own key, in a job of several parts
   AttemptNo next{1};
   std::vector<bool> done;
   std::uint32_t done_count = 0;
-  std::map<std::uint32_t, Run> runs;           // by the task's index in the job
-  bool dirty = false;                          // memory is ahead of the record
-  Instant dirty_since;                         // that or the write under way
-  bool in_flight = false;                      // a transaction on it is under way
+  std::map<std::uint32_t, Run> runs;  // by the task's index in the job
+  bool dirty = false;                 // memory is ahead of the record
+  Instant dirty_since;                // that or the write under way
+  bool in_flight = false;             // a transaction on it is under way
 
   [[nodiscard]] bool settled() const { return !dirty && !in_flight; }
 };
@@ -55,21 +55,21 @@
   Amounts each;
   Instant submitted;
   std::int64_t submitted_wall_ms = 0;
-  Revision mark;                               // of live/<job>
+  Revision mark;  // of live/<job>
   std::vector<Part> parts;
   std::uint32_t done_count = 0;
   std::uint32_t runs_count = 0;
   bool withdrawn = false;
-  bool had_runs = false;                       // there may be a linger/ record
-  Instant shown;                               // when the counts of a job in parts were last written
-  bool reload = false;                         // a write met a record that is not the one in memory
-  Instant not_before;                          // after errors
-  int errors = 0;                              // in a row, on different machines
+  bool had_runs = false;  // there may be a linger/ record
+  Instant shown;          // when the counts of a job in parts were last written
+  bool reload = false;    // a write met a record that is not the one in memory
+  Instant not_before;     // after errors
+  int errors = 0;         // in a row, on different machines
   std::set<MachineId> failed_on;
-  std::map<std::uint32_t, Millis> saved;       // progress known to be saved, by task
-  std::vector<plan::BookingId> booked;         // of tasks that have not been placed
-  std::optional<Instant> planned_start;        // of its first task that waits
-  std::uint32_t late_tasks = 0;                // booked later than they should wait, or not at all
+  std::map<std::uint32_t, Millis> saved;  // progress known to be saved, by task
+  std::vector<plan::BookingId> booked;    // of tasks that have not been placed
+  std::optional<Instant> planned_start;   // of its first task that waits
+  std::uint32_t late_tasks = 0;           // booked later than they should wait, or not at all
 
   [[nodiscard]] std::uint32_t pending() const { return spec.tasks - done_count - runs_count; }
 };
@@ -83,26 +83,26 @@
   std::string zone;
   bool spot = false;
   MachineState state = MachineState::booting;
-  Instant since;                               // rented or first heard of
-  Instant ready;                               // while booting: when it is expected
-  bool reported = false;                       // to this leader
-  bool saw_term = false;                       // its worker has seen our term: only we can renew its lease
+  Instant since;          // rented or first heard of
+  Instant ready;          // while booting: when it is expected
+  bool reported = false;  // to this leader
+  bool saw_term = false;  // its worker has seen our term: only we can renew its lease
   SessionNo session;
   std::uint64_t sequence = 0;
   Instant last_report;
-  bool expired = false;                        // its last known session has certainly ended
+  bool expired = false;  // its last known session has certainly ended
   std::set<TaskKey> runs;
-  bool halting = false;                        // some of them may have to be stopped
-  bool strangers = false;                      // its newest report has tasks that we didn't place there
+  bool halting = false;    // some of them may have to be stopped
+  bool strangers = false;  // its newest report has tasks that we didn't place there
   std::set<std::string> images;
   int errors = 0;
   std::optional<Instant> idle_since;
-  Instant known;                               // first heard of by this leader
-  bool listed_running = false;                 // the newest list says that it has booted
+  Instant known;                // first heard of by this leader
+  bool listed_running = false;  // the newest list says that it has booted
   bool listed_failed = false;
   Instant last_listed;
-  std::string why;                             // it is drained or returned
-  const plan::PlanNode* planned = nullptr;     // of the planner, once its type is known
+  std::string why;                          // it is drained or returned
+  const plan::PlanNode* planned = nullptr;  // of the planner, once its type is known
 };
 
 struct WriteItem {
@@ -110,8 +110,8 @@
   Kind kind = Kind::update;
   JobId job;
   std::uint32_t part = 0;
-  bool header = false;                                     // the job's own record is written too
-  std::vector<std::pair<std::uint32_t, AttemptNo>> runs;   // that the write makes durable
+  bool header = false;                                    // the job's own record is written too
+  std::vector<std::pair<std::uint32_t, AttemptNo>> runs;  // that the write makes durable
 };
 
 struct WriteBatch {
@@ -129,22 +129,22 @@
 struct Takeover {
   Term term;
   Revision term_mark;
-  Instant others_until;          // until then older leaders may still renew workers' leases
+  Instant others_until;  // until then older leaders may still renew workers' leases
   std::vector<state::Entry> live;
   std::vector<state::Entry> linger;
   std::vector<state::Entry> parts;
-  std::int64_t wall_ms = 0;      // now, by the time of day
+  std::int64_t wall_ms = 0;  // now, by the time of day
 };
 
 // What this leader has done so far, for operators and tests.
 struct Counters {
   std::uint64_t reports = 0;
   std::uint64_t passes = 0;
-  std::uint64_t portions = 0;       // of the passes
-  std::uint64_t jobs_planned = 0;   // in them
-  std::uint64_t places_seen = 0;    // machines looked at for these jobs
-  std::uint64_t placed = 0;         // tasks
-  std::uint64_t writes = 0;         // transactions
+  std::uint64_t portions = 0;      // of the passes
+  std::uint64_t jobs_planned = 0;  // in them
+  std::uint64_t places_seen = 0;   // machines looked at for these jobs
+  std::uint64_t placed = 0;        // tasks
+  std::uint64_t writes = 0;        // transactions
   std::uint64_t writes_failed = 0;
 };
 
@@ -156,9 +156,9 @@
   std::uint64_t machines_up = 0;
   std::uint64_t machines_booting = 0;
   std::uint64_t machines_leaving = 0;
-  std::uint64_t unwritten = 0;      // records that memory is ahead of
-  Millis unwritten_oldest{};        // for so long
-  Millis fence_left{};              // until workers' reports may no longer be answered
+  std::uint64_t unwritten = 0;  // records that memory is ahead of
+  Millis unwritten_oldest{};    // for so long
+  Millis fence_left{};          // until workers' reports may no longer be answered
 };
 
 class Engine {
@@ -229,21 +229,21 @@
   [[nodiscard]] const std::map<MachineId, Machine>& machines() const { return machines_; }
 
  private:
-  struct Supply {                     // one kind of machine that the cloud may have
+  struct Supply {  // one kind of machine that the cloud may have
     Instant not_before;
     Millis pause{};
-    std::optional<std::size_t> most;   // how many we had when the cloud refused more
+    std::optional<std::size_t> most;  // how many we had when the cloud refused more
   };
-  using SupplyKey = std::tuple<std::string, std::string, bool>;   // type, zone, spot
+  using SupplyKey = std::tuple<std::string, std::string, bool>;  // type, zone, spot
   struct Offer {
     SupplyKey key;
-    double price = 0;        // an hour, for each of the tasks that would run on it
-    double full_price = 0;   // the same if it were full
+    double price = 0;       // an hour, for each of the tasks that would run on it
+    double full_price = 0;  // the same if it were full
     std::int64_t fit = 0;
   };
   struct ClassDemand {
     wire::JobSpec sample;
-    std::deque<std::pair<Instant, std::uint32_t>> arrivals;   // when, and how many tasks
+    std::deque<std::pair<Instant, std::uint32_t>> arrivals;  // when, and how many tasks
   };
 
   // records
@@ -325,24 +325,24 @@
   Instant others_until_;
   std::map<JobId, Job> jobs_;
   std::map<MachineId, Machine> machines_;
-  std::set<MachineId> gone_machines_;             // returned or dead: an old list may still show them
+  std::set<MachineId> gone_machines_;  // returned or dead: an old list may still show them
   std::vector<wire::MachineType> types_;
   plan::Planner planner_;
   std::set<std::pair<JobId, std::uint32_t>> dirty_;
-  std::set<JobId> ended_;                         // removed by us; the watch may still tell of them
-  std::map<std::string, Amounts> team_use_;       // everything placed and not proved gone
+  std::set<JobId> ended_;                    // removed by us; the watch may still tell of them
+  std::map<std::string, Amounts> team_use_;  // everything placed and not proved gone
   std::map<SupplyKey, Supply> supply_;
   std::map<SupplyKey, std::uint64_t> wanted_;
   std::uint64_t rentals_ = 0;
-  std::optional<wire::RentRequest> rental_;       // under way, or unanswered
+  std::optional<wire::RentRequest> rental_;  // under way, or unanswered
   std::map<std::string, ClassDemand> classes_;
-  std::set<MachineId> reserve_;                   // idle, but kept for what may come
-  std::deque<std::pair<Instant, plan::Items>> gpu_demand_;   // wanted at once, falling: its front is the latest peak
-  plan::Items gpus_spare_ = 0;                    // that machines have beyond it
-  Amounts beside_gpu_;                            // most that tasks take beside each GPU, as far as seen
-  bool plan_wanted_ = false;                      // something has happened since the latest pass began
-  std::optional<std::deque<JobId>> pass_;         // what the pass under way has left to plan
-  Instant planned_;                               // when the latest pass began
+  std::set<MachineId> reserve_;                             // idle, but kept for what may come
+  std::deque<std::pair<Instant, plan::Items>> gpu_demand_;  // wanted at once, falling: its front is the latest peak
+  plan::Items gpus_spare_ = 0;                              // that machines have beyond it
+  Amounts beside_gpu_;                                      // most that tasks take beside each GPU, as far as seen
+  bool plan_wanted_ = false;                                // something has happened since the latest pass began
+  std::optional<std::deque<JobId>> pass_;                   // what the pass under way has left to plan
+  Instant planned_;                                         // when the latest pass began
   Counters counters_;
 };
 
--- a/src/control/engine_explain.cpp
+++ b/src/control/engine_explain.cpp
@@ -48,8 +48,10 @@
   if (!may_start(now)) return text + "; nothing is started while the state service does not answer";
   if (!quota_for(job, gang ? waiting : 1)) return text + "; its team's limit is used up";
   if (job.planned_start) {
-    text += fmt::format("; the first is booked to start in {:.0f} s", to_seconds(std::max(Millis(0), *job.planned_start - now)));
-    if (job.late_tasks > 0) text += fmt::format(", {} of them later than a machine rented now would let them", job.late_tasks);
+    text += fmt::format("; the first is booked to start in {:.0f} s",
+                        to_seconds(std::max(Millis(0), *job.planned_start - now)));
+    if (job.late_tasks > 0)
+      text += fmt::format(", {} of them later than a machine rented now would let them", job.late_tasks);
   } else {
     text += "; no machine that is up or boots has room for it";
   }
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -92,7 +92,7 @@
 void Engine::on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant now) {
   if (!leading_) return;
   for (const wire::ListedMachine& entry : listed) {
-    if (gone_machines_.contains(entry.id)) continue;   // an old list
+    if (gone_machines_.contains(entry.id)) continue;  // an old list
     const bool fresh = !machines_.contains(entry.id);
     Machine& machine = know_machine(entry.id, now);
     machine.listed_running = entry.state == wire::ListedState::running;
@@ -107,7 +107,8 @@
       machine.since = now - from_seconds(entry.age_s);
       const wire::MachineType* kind = type(entry.type);
       machine.ready = std::max(now, machine.since + from_seconds(kind == nullptr ? 0 : kind->boot_s));
-      spdlog::info("machine {} ({} in {}{}) is listed", entry.id.text(), entry.type, entry.zone, entry.spot ? ", spot" : "");
+      spdlog::info("machine {} ({} in {}{}) is listed", entry.id.text(), entry.type, entry.zone,
+                   entry.spot ? ", spot" : "");
     }
     if (!machine.reported) refresh_plan_machine(machine);
     if (entry.state == wire::ListedState::failed && machine.state != MachineState::returning) {
@@ -136,7 +137,7 @@
 
 std::optional<wire::RentRequest> Engine::next_rental(Instant now) {
   if (!may_start(now) || !settings_.operators.may_rent) return std::nullopt;
-  if (rental_) return rental_;   // unanswered: the same request tells what became of it
+  if (rental_) return rental_;  // unanswered: the same request tells what became of it
   const std::map<SupplyKey, std::size_t> have = held();
   for (auto at = wanted_.begin(); at != wanted_.end(); at = wanted_.erase(at)) {
     const auto& [key, count] = *at;
@@ -199,8 +200,8 @@
 
 bool Engine::cloud_wanted() const {
   return rental_ || !wanted_.empty() || std::ranges::any_of(machines_, [](const auto& entry) {
-    return entry.second.state == MachineState::returning;
-  });
+           return entry.second.state == MachineState::returning;
+         });
 }
 
 std::vector<MachineId> Engine::next_returns(Instant now) {
@@ -233,8 +234,9 @@
   if (!leading_) return;
   planner_.forget_before(now);
   // What waits for the end of a pause, its own or the cloud's, is not woken by any event.
-  if (now - planned_ >= constants::kReplanEvery &&
-      std::ranges::any_of(jobs_, [](const auto& entry) { return !entry.second.withdrawn && entry.second.pending() > 0; })) {
+  if (now - planned_ >= constants::kReplanEvery && std::ranges::any_of(jobs_, [](const auto& entry) {
+        return !entry.second.withdrawn && entry.second.pending() > 0;
+      })) {
     plan_wanted_ = true;
   }
   std::vector<MachineId> forgotten;
@@ -267,9 +269,9 @@
     // be taken for lost boots. They have the time in which a worker finds its leader.
     const Millis boot = from_seconds(kind == nullptr ? 0 : kind->boot_s);
     const Millis known = now - machine.known;
-    const bool boot_lost = machine.listed_running
-                               ? known > lease_span(settings_) * 2 + boot
-                               : kind != nullptr && known > lease_span(settings_) && now - machine.since > boot * constants::kBootLost;
+    const bool boot_lost = machine.listed_running ? known > lease_span(settings_) * 2 + boot
+                                                  : kind != nullptr && known > lease_span(settings_) &&
+                                                        now - machine.since > boot * constants::kBootLost;
     if (machine.state == MachineState::booting && idle && boot_lost) {
       machine.state = MachineState::returning;
       machine.why = "it did not come up";
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -62,7 +62,8 @@
       cpus += job->spec.cpus * tasks;
       gpus += job->spec.gpus * tasks;
       const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
-      if (job->pending() > 0 && job->not_before <= now) order.push_back({.job = job, .borrowed = !within, .since = job->submitted + lag(*job)});
+      if (job->pending() > 0 && job->not_before <= now)
+        order.push_back({.job = job, .borrowed = !within, .since = job->submitted + lag(*job)});
     }
   }
   std::ranges::sort(order, [](const Entry& a, const Entry& b) {
@@ -124,28 +125,30 @@
 }
 
 void Engine::plan_pass(Instant now) {
-  while (!plan_some(now, SIZE_MAX)) {}
+  bool ended = false;
+  while (!ended) ended = plan_some(now, SIZE_MAX);
 }
 
 // Where the job may run at all, and what each machine has to do before it does.
 std::vector<plan::Place> Engine::places_for(const Job& job, Instant now) const {
-  struct Kind {              // all that depends on the machine's type alone
+  struct Kind {  // all that depends on the machine's type alone
     const wire::MachineType* type;
     bool allowed;
-    bool guards_gpus;        // plain work leaves the room beside its GPUs
+    bool guards_gpus;  // plain work leaves the room beside its GPUs
     Amounts offered;
     Millis fetch;
   };
   std::vector<Kind> kinds;
   for (const wire::MachineType& type : types_) {
-    kinds.push_back({.type = &type,
-                     .allowed = job.spec.types.empty() || std::ranges::find(job.spec.types, type.name) != job.spec.types.end(),
-                     .guards_gpus = job.spec.gpus <= 0 && type.gpus > 0,
-                     .offered = offered(job.spec, type),
-                     .fetch = fetch_time(job.spec, type.name)});
+    kinds.push_back(
+        {.type = &type,
+         .allowed = job.spec.types.empty() || std::ranges::find(job.spec.types, type.name) != job.spec.types.end(),
+         .guards_gpus = job.spec.gpus <= 0 && type.gpus > 0,
+         .offered = offered(job.spec, type),
+         .fetch = fetch_time(job.spec, type.name)});
   }
   std::vector<plan::Place> places;
-  plan::Items spare = gpus_spare_;   // of which each machine that plain work has, or may have, as a whole takes its GPUs
+  plan::Items spare = gpus_spare_;  // of which each machine that plain work has, or may have, as a whole takes its GPUs
   const Kind* kind = nullptr;
   for (const auto& [id, machine] : machines_) {
     if (machine.planned == nullptr || (machine.spot && !job.spec.spot)) continue;
@@ -299,7 +302,8 @@
   ++job.runs_count;
   ++counters_.placed;
   touch(job, index / constants::kTasksPerPart, now);
-  spdlog::info("task {} attempt {} is placed on {}", TaskKey{job.spec.id, index}.text(), attempt.number(), machine.id.text());
+  spdlog::info("task {} attempt {} is placed on {}", TaskKey{job.spec.id, index}.text(), attempt.number(),
+               machine.id.text());
 }
 
 bool Engine::place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now) {
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -49,8 +49,8 @@
       const auto number = static_cast<std::uint32_t>(std::stoul(entry.key.substr(entry.key.rfind('/') + 1)));
       if (number >= job->second.parts.size()) continue;
       job->second.parts[number].mark = entry.mark;
-      adopt_part(job->second, number,
-                 state::part_from(entry.data, state::part_size(job->second.spec.tasks, number)), now);
+      adopt_part(job->second, number, state::part_from(entry.data, state::part_size(job->second.spec.tasks, number)),
+                 now);
     } catch (const std::exception& error) {
       spdlog::error("record {} cannot be read: {}", entry.key, error.what());
     }
@@ -303,10 +303,11 @@
           --room;
         }
       }
-      const auto parts_left = std::ranges::count_if(job.parts, [](const Part& part) { return part.mark != Revision{}; });
+      const auto parts_left =
+          std::ranges::count_if(job.parts, [](const Part& part) { return part.mark != Revision{}; });
       if (static_cast<std::size_t>(parts_left) == item.runs.size()) {
         batch.txn.changes.push_back({.key = state::linger_key(id), .data = {}, .lease = {}});
-        item.part = 1;   // the last of it
+        item.part = 1;  // the last of it
       }
       batch.items.push_back(std::move(item));
     } else {
@@ -372,7 +373,7 @@
       if (result.answer == state::Answer::conflict && lost) job.reload = true;
       continue;
     }
-    if (part.dirty) part.dirty_since = now;   // what has come meanwhile waits for the next write
+    if (part.dirty) part.dirty_since = now;  // what has come meanwhile waits for the next write
     switch (item.kind) {
       case WriteItem::Kind::update:
         if (job.parts.size() == 1) {
@@ -397,7 +398,7 @@
         if (job.parts.size() == 1) {
           erase_job(item.job);
         } else {
-          job.withdrawn = true;   // what is left of it, the parts, is removed like that of a withdrawn job
+          job.withdrawn = true;  // what is left of it, the parts, is removed like that of a withdrawn job
           dirty_.insert({item.job, 0});
         }
         break;
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -46,7 +46,7 @@
     return other.gpus <= 0 && (spec.types.empty() || std::ranges::find(spec.types, other.name) != spec.types.end()) &&
            Amounts::from(spec.cpus, 0, spec.ram_gb).fits(Amounts::from(other.cpus, 0, other.ram_gb));
   });
-  if (!elsewhere) return all;   // it can't run without
+  if (!elsewhere) return all;  // it can't run without
   for (const std::size_t r : {0U, 2U}) {
     // As long as no task with a GPU was seen, each GPU's share of the machine.
     const plan::Items beside = beside_gpu_.of[r] > 0 ? beside_gpu_.of[r] * all.of[1] / 1000 : all.of[r];
@@ -82,7 +82,8 @@
   double cover_s = 0;
   for (const wire::MachineType& kind : types_) {
     if (each.count_in(offered(spec, kind)) <= 0) continue;
-    const double kind_s = kind.boot_s * constants::kBootSlack + to_seconds(fetch_time(spec, kind.name)) + settings_.report_s;
+    const double kind_s =
+        kind.boot_s * constants::kBootSlack + to_seconds(fetch_time(spec, kind.name)) + settings_.report_s;
     cover_s = cover_s == 0 ? kind_s : std::min(cover_s, kind_s);
   }
   return cover_s;
@@ -157,7 +158,8 @@
         const auto held_now = have.find(key);
         if (!on_offer(key, held_now == have.end() ? 0 : held_now->second, now)) continue;
         const double price = hourly / static_cast<double>(std::min(fit, tasks));
-        if (!best || price < best->price) best = Offer{.key = std::move(key), .price = price, .full_price = full, .fit = fit};
+        if (!best || price < best->price)
+          best = Offer{.key = std::move(key), .price = price, .full_price = full, .fit = fit};
       }
     }
   }
@@ -178,7 +180,8 @@
   for (const auto& [id, machine] : machines_) {
     if (machine.state != MachineState::booting && !usable(machine, now)) continue;
     const wire::MachineType* kind = type(machine.type);
-    if (kind == nullptr || machine.planned == nullptr || !allows(spec, machine.type, machine.zone, machine.spot)) continue;
+    if (kind == nullptr || machine.planned == nullptr || !allows(spec, machine.type, machine.zone, machine.spot))
+      continue;
     if (each.count_in(offered(spec, *kind)) <= 0) continue;
     const Instant from = std::max(now, machine.ready);
     const std::int64_t fit = each.count_in(machine.planned->use.free(from, from + constants::kAllocationLimit));
@@ -202,7 +205,8 @@
   double boot_s = 0;
   for (const wire::MachineType& kind : types_) {
     const Amounts each = Amounts::from(demand.sample.cpus, demand.sample.gpus, demand.sample.ram_gb);
-    if (each.count_in(offered(demand.sample, kind)) > 0) boot_s = boot_s == 0 ? kind.boot_s : std::min(boot_s, kind.boot_s);
+    if (each.count_in(offered(demand.sample, kind)) > 0)
+      boot_s = boot_s == 0 ? kind.boot_s : std::min(boot_s, kind.boot_s);
   }
   double tasks = 0;
   for (const auto& [unused, count] : demand.arrivals) tasks += count;
@@ -219,7 +223,7 @@
   reserve_.clear();
   if (types_.empty()) return;
   const std::map<SupplyKey, std::size_t> have = held();
-  std::map<SupplyKey, double> shares;   // machines, of which a task may be a part
+  std::map<SupplyKey, double> shares;  // machines, of which a task may be a part
   for (const Job* job : planning_order(now)) {
     if (job->late_tasks == 0) continue;
     std::uint32_t late = job->late_tasks;
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -114,16 +114,14 @@
       job.failed_on.insert(machine.id);
       // A job that fails wherever it runs says nothing about the machines.
       if (job.failed_on.size() < 3) ++machine.errors;
-      const Millis pause = std::min(constants::kErrorPauseMost, constants::kErrorPause * (1 << std::min(job.errors, 5)));
+      const Millis pause =
+          std::min(constants::kErrorPauseMost, constants::kErrorPause * (1 << std::min(job.errors, 5)));
       if (++job.errors > 1) job.not_before = now + pause;
       if (machine.errors >= constants::kMachineErrorsMost) drain(machine, "tasks fail on it", now);
       break;
     }
-    case EndReason::unknown:
-      job.not_before = now + constants::kErrorPause;
-      break;
-    default:
-      break;
+    case EndReason::unknown: job.not_before = now + constants::kErrorPause; break;
+    default: break;
   }
   prove_gone(job, index, std::string(wire::name_of(task.reason)).c_str(), now);
   if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
@@ -138,13 +136,11 @@
     if (const auto saved = job.saved.find(index); saved != job.saved.end()) {
       left = std::max(left - saved->second, constants::kAllocationLimit);
     }
-    run.booking = planner_.book({.machine = machine.id,
-                                 .team = job.spec.team,
-                                 .amounts = job.each,
-                                 .start = now,
-                                 .stop = now + left});
-    spdlog::info("task {} attempt {} runs on {}, {:.1f} s after its job's submission", TaskKey{job.spec.id, index}.text(),
-                 run.attempt.number(), machine.id.text(), to_seconds(now - job.submitted));
+    run.booking = planner_.book(
+        {.machine = machine.id, .team = job.spec.team, .amounts = job.each, .start = now, .stop = now + left});
+    spdlog::info("task {} attempt {} runs on {}, {:.1f} s after its job's submission",
+                 TaskKey{job.spec.id, index}.text(), run.attempt.number(), machine.id.text(),
+                 to_seconds(now - job.submitted));
   }
   run.seen = state;
 }
@@ -160,21 +156,23 @@
   if (!run.durable || run.halting || !may_start(now)) return false;
   // All tasks of a gang start, or none: each one's placement has to be durable.
   return job.spec.kind != wire::JobKind::gang || std::ranges::all_of(job.parts, [](const Part& part) {
-    return std::ranges::all_of(part.runs, [](const auto& entry) { return entry.second.durable; });
-  });
+           return std::ranges::all_of(part.runs, [](const auto& entry) { return entry.second.durable; });
+         });
 }
 
 bool Engine::settled(const wire::Report& report) const {
   if (!leading_) return true;
   const auto entry = machines_.find(report.machine);
   if (entry == machines_.end()) return true;
-  const bool any_ended = std::ranges::any_of(report.tasks, [](const wire::TaskReport& task) { return task.state == TaskState::ended; });
+  const bool any_ended =
+      std::ranges::any_of(report.tasks, [](const wire::TaskReport& task) { return task.state == TaskState::ended; });
   if (any_ended && plan_wanted()) return false;
-  return std::ranges::all_of(report.tasks, [&](const wire::TaskReport& task) {
-    return task.state != TaskState::ended || forgettable(task.task);
-  }) && std::ranges::all_of(entry->second.runs, [&](const TaskKey& key) {
-    return jobs_.at(key.job).parts[key.index / constants::kTasksPerPart].runs.at(key.index).durable;
-  });
+  return std::ranges::all_of(
+             report.tasks,
+             [&](const wire::TaskReport& task) { return task.state != TaskState::ended || forgettable(task.task); }) &&
+         std::ranges::all_of(entry->second.runs, [&](const TaskKey& key) {
+           return jobs_.at(key.job).parts[key.index / constants::kTasksPerPart].runs.at(key.index).durable;
+         });
 }
 
 std::optional<std::vector<Command>> Engine::later_commands(const wire::Report& report, Instant now) {
@@ -218,7 +216,7 @@
   if (gone_machines_.contains(report.machine)) return commands;
   Machine& machine = know_machine(report.machine, now);
   if (machine.reported && std::tie(report.session, report.sequence) <= std::tie(machine.session, machine.sequence)) {
-    return commands;   // held up on its way: it teaches nothing
+    return commands;  // held up on its way: it teaches nothing
   }
   if (!machine.reported || machine.state == MachineState::booting || machine.type.empty()) {
     machine.address = report.address;
@@ -257,7 +255,8 @@
   bool strangers = false;
   for (const wire::TaskReport& task : report.tasks) {
     const auto job_entry = jobs_.find(task.task.job);
-    Job* job = job_entry == jobs_.end() || task.task.index >= job_entry->second.spec.tasks ? nullptr : &job_entry->second;
+    Job* job =
+        job_entry == jobs_.end() || task.task.index >= job_entry->second.spec.tasks ? nullptr : &job_entry->second;
     Run* run = job == nullptr ? nullptr : find_run(task.task);
     if (run != nullptr && (run->attempt != task.attempt || run->machine != machine.id)) run = nullptr;
     if (run != nullptr) {
@@ -265,7 +264,8 @@
       if (task.state != TaskState::ended) {
         learn_running(*job, machine, *run, task.task.index, task.state, now);
         if (run->halting) {
-          commands.push_back({.kind = CommandKind::halt, .task = task.task, .attempt = task.attempt, .grace_s = run->grace_s});
+          commands.push_back(
+              {.kind = CommandKind::halt, .task = task.task, .attempt = task.attempt, .grace_s = run->grace_s});
         }
         continue;
       }
@@ -281,7 +281,8 @@
       commands.push_back({.kind = CommandKind::clear, .task = task.task, .attempt = task.attempt});
     }
   }
-  if (strangers && !machine.strangers) spdlog::warn("machine {} has tasks that no record places there", machine.id.text());
+  if (strangers && !machine.strangers)
+    spdlog::warn("machine {} has tasks that no record places there", machine.id.text());
   machine.strangers = strangers;
 
   std::vector<TaskKey> absent;
@@ -315,7 +316,8 @@
   }
   commands.insert(commands.end(), runs.begin(), runs.end());
   for (const Command& command : runs) {
-    spdlog::debug("machine {}: told to run {} attempt {}", machine.id.text(), command.task.text(), command.attempt.number());
+    spdlog::debug("machine {}: told to run {} attempt {}", machine.id.text(), command.task.text(),
+                  command.attempt.number());
   }
   return commands;
 }
@@ -335,7 +337,8 @@
       if (run.halt_due == Instant{}) run.halt_due = now + from_seconds(settings_.report_s * 1.5);
       if (now < run.halt_due) continue;
       run.halt_due = now + constants::kHaltRepeat;
-      halts.commands.push_back({.kind = CommandKind::halt, .task = key, .attempt = run.attempt, .grace_s = run.grace_s});
+      halts.commands.push_back(
+          {.kind = CommandKind::halt, .task = key, .attempt = run.attempt, .grace_s = run.grace_s});
     }
     if (!halts.commands.empty()) due.push_back(std::move(halts));
   }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -97,16 +97,17 @@
   explicit Protocol(const HttpServer::Handler& handler) {
     set_payload_max_length(constants::kBodyLimitBytes);
     set_keep_alive_max_count(1'000'000);
-    set_keep_alive_timeout(std::chrono::seconds(std::chrono::floor<std::chrono::seconds>(constants::kServerIdleLimit)).count());
+    set_keep_alive_timeout(
+        std::chrono::seconds(std::chrono::floor<std::chrono::seconds>(constants::kServerIdleLimit)).count());
     // httplib's routes are regular expressions, whose matcher recurses once a character of the path: that took 16 KiB
     // of every connection's stack, and a long path overflowed it. No route is registered, so that httplib reads each
     // request and leaves it, as one that it has no route for, to the handler of errors.
-    set_error_handler(httplib::Server::HandlerWithResponse(
-        [&handler](const httplib::Request& request, httplib::Response& response) {
+    set_error_handler(
+        httplib::Server::HandlerWithResponse([&handler](const httplib::Request& request, httplib::Response& response) {
           if (response.status == 404) {
             serve(handler, request, response);
           } else if (response.status == 413) {
-            response.status = 400;   // PROTOCOL knows one answer to a body that is too long
+            response.status = 400;  // PROTOCOL knows one answer to a body that is too long
           }
           return HandlerResponse::Handled;
         }));
@@ -152,13 +153,13 @@
 void tune_process_for_threads() {
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
-#ifndef __SANITIZE_THREAD__   // which keeps more than that for itself in every thread
+#ifndef __SANITIZE_THREAD__  // which keeps more than that for itself in every thread
   pthread_attr_setstacksize(&attributes, constants::kThreadStackBytes);
   pthread_setattr_default_np(&attributes);
 #endif
   pthread_attr_destroy(&attributes);
-  mallopt(M_ARENA_MAX, 1);                 // only one thread runs at a time; arenas would only hold memory
-  mallopt(M_TRIM_THRESHOLD, 256 * 1024);   // give back what a burst took
+  mallopt(M_ARENA_MAX, 1);                // only one thread runs at a time; arenas would only hold memory
+  mallopt(M_TRIM_THRESHOLD, 256 * 1024);  // give back what a burst took
   mallopt(M_MMAP_THRESHOLD, 128 * 1024);
 }
 
@@ -228,7 +229,8 @@
 
   void refuse(const Socket& socket) {
     if (refused_++ % constants::kRefusalsPerWarning == 0) {
-      spdlog::warn("connections are refused: {} are open, {} of them not for reserved paths", open_.load(), unreserved_.load());
+      spdlog::warn("connections are refused: {} are open, {} of them not for reserved paths", open_.load(),
+                   unreserved_.load());
     }
     static constexpr std::string_view kFull =
         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -366,9 +368,9 @@
 
   Address to_;
   std::chrono::milliseconds connect_limit_;
-  std::mutex mutex_;   // for abort() against closing and connecting
+  std::mutex mutex_;  // for abort() against closing and connecting
   net::Socket connection_;
-  SocketStream stream_{connection_};   // not on the stack, of which every thread that calls would keep its pages
+  SocketStream stream_{connection_};  // not on the stack, of which every thread that calls would keep its pages
 };
 
 HttpClient::HttpClient(Address to, std::chrono::milliseconds connect_limit)
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -16,12 +16,12 @@
   std::string method;
   std::string path;
   std::string body;
-  std::map<std::string, std::string> query{};   // of requests that a server receives
+  std::map<std::string, std::string> query{};  // of requests that a server receives
 };
 
 struct HttpResponse {
   int status = 200;
-  std::string body;                     // CBOR, or text when `is_text`
+  std::string body;  // CBOR, or text when `is_text`
   std::optional<int> retry_after_s;
   bool is_text = false;
 };
--- a/src/node/cloud.cpp
+++ b/src/node/cloud.cpp
@@ -39,7 +39,8 @@
   const std::string* why = result.body["error"].as_text();
   const bool capacity = why != nullptr && *why == "no capacity";
   if (result.status != 200 && !capacity) {
-    spdlog::warn("cloud: {} {}: {}", method, path, result.status == 0 ? "no answer" : "status " + std::to_string(result.status));
+    spdlog::warn("cloud: {} {}: {}", method, path,
+                 result.status == 0 ? "no answer" : "status " + std::to_string(result.status));
     next_try_ = net::Clock::now() + constants::kCloudRetryPause;
   }
   return result;
--- a/src/node/cloud.h
+++ b/src/node/cloud.h
@@ -14,7 +14,7 @@
 
  private:
   struct Answer {
-    int status = 0;   // 0: none
+    int status = 0;  // 0: none
     wire::Value body;
   };
   Answer call(const std::string& method, const std::string& path, const wire::Value* body);
@@ -31,7 +31,7 @@
   net::Clock::time_point next_call_;
   net::Clock::time_point next_list_;
   net::Clock::time_point next_types_;
-  net::Clock::time_point next_try_;    // after trouble
+  net::Clock::time_point next_try_;  // after trouble
   bool published_ = false;
   std::stop_token stop_;
 };
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -17,7 +17,8 @@
 
 inline plan::Instant now() { return std::chrono::floor<plan::Millis>(net::Clock::now()); }
 inline std::int64_t wall_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
 // A flag that one duty raises and another waits for.
@@ -46,23 +47,23 @@
   const net::Clock::time_point began = net::Clock::now();
   Tallies tallies;
 
-  DutyMutex engine_mutex;    // never held across I/O
-  std::condition_variable_any engine_moved;   // with engine_mutex: a write or a planning pass has ended
+  DutyMutex engine_mutex;                    // never held across I/O
+  std::condition_variable_any engine_moved;  // with engine_mutex: a write or a planning pass has ended
   control::Engine engine;
   Signal plan_signal;
   Signal write_signal;
   Signal cloud_signal;
   Signal halt_signal;
-  std::vector<control::DirectHalt> halts;     // with engine_mutex: to be sent
-  std::condition_variable_any led;            // with engine_mutex: this node has begun to lead
-  Revision follow_from;      // with engine_mutex: up to here the leader knows the records
+  std::vector<control::DirectHalt> halts;  // with engine_mutex: to be sent
+  std::condition_variable_any led;         // with engine_mutex: this node has begun to lead
+  Revision follow_from;                    // with engine_mutex: up to here the leader knows the records
 
   std::mutex view_mutex;
-  NodeName leader;                          // as last read; empty: none
+  NodeName leader;  // as last read; empty: none
   Term term;
-  std::vector<wire::MachineType> types;     // for judging submissions
+  std::vector<wire::MachineType> types;  // for judging submissions
 
-  std::atomic<net::Clock::rep> state_heard{0};   // when the state service last answered
+  std::atomic<net::Clock::rep> state_heard{0};  // when the state service last answered
 
   // The leader's duties of a node that does not lead wait here, so that it costs nothing. False when a stop is asked for.
   bool wait_to_lead(const std::stop_token& stop);
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -17,7 +17,9 @@
 double processor_s() {
   rusage use{};
   ::getrusage(RUSAGE_SELF, &use);
-  const auto seconds = [](const timeval& time) { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6; };
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+  };
   return seconds(use.ru_utime) + seconds(use.ru_stime);
 }
 
@@ -29,7 +31,9 @@
   return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1024.0 * 1024.0);
 }
 
-std::uint64_t count_ms(std::chrono::milliseconds span) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count())); }
+std::uint64_t count_ms(std::chrono::milliseconds span) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count()));
+}
 
 }  // namespace
 
@@ -74,14 +78,16 @@
       {"connections_refused", server.refused_connections()},
       {"state_silent_ms", count_ms(std::chrono::ceil<std::chrono::milliseconds>(context.state_silent_for()))},
   };
-  for (const auto& [kind, name] : {std::pair{Tallies::Kind::report, "reports"}, std::pair{Tallies::Kind::user, "users_requests"}}) {
+  for (const auto& [kind, name] :
+       {std::pair{Tallies::Kind::report, "reports"}, std::pair{Tallies::Kind::user, "users_requests"}}) {
     const Tallies::Requests& requests = tallies.of(kind);
     body.emplace_back(name, requests.all.load());
     body.emplace_back(std::string(name) + "_refused", requests.refused.load());
     body.emplace_back(std::string(name) + "_bad", requests.bad.load());
     body.emplace_back(std::string(name) + "_slowest_ms", count_ms(tallies.slowest(kind)));
   }
-  constexpr std::array<const char*, kDuties> kNames{"lease", "reports", "records", "writes", "cloud", "planning", "counting"};
+  constexpr std::array<const char*, kDuties> kNames{"lease", "reports",  "records", "writes",
+                                                    "cloud", "planning", "counting"};
   const auto waits = context.engine_mutex.longest_waits();
   for (std::size_t duty = 0; duty < kDuties; ++duty) {
     body.emplace_back(std::string("wait_") + kNames[duty] + "_ms", count_ms(waits[duty]));
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -24,8 +24,8 @@
 
   struct Requests {
     std::atomic<std::uint64_t> all{0};
-    std::atomic<std::uint64_t> refused{0};   // 503 and 429
-    std::atomic<std::uint64_t> bad{0};       // other 4xx, but not 421, which sends a worker to the leader
+    std::atomic<std::uint64_t> refused{0};  // 503 and 429
+    std::atomic<std::uint64_t> bad{0};      // other 4xx, but not 421, which sends a worker to the leader
   };
   [[nodiscard]] const Requests& of(Kind kind) const { return requests_[static_cast<std::size_t>(kind)]; }
   [[nodiscard]] std::chrono::milliseconds slowest(Kind kind);
--- a/src/node/duty_mutex.h
+++ b/src/node/duty_mutex.h
@@ -41,7 +41,7 @@
   // Whether somebody more urgent waits.
   [[nodiscard]] bool behind(std::size_t rank) const;
 
-  std::mutex mutex_;   // held for a few instructions only
+  std::mutex mutex_;  // held for a few instructions only
   bool taken_ = false;
   std::array<std::size_t, kDuties> waiting_{};
   std::array<RecentPeak, kDuties> waits_;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -52,7 +52,8 @@
       client_ = std::move(front_.idle_.back());
       front_.idle_.pop_back();
     } else if (front_.lent_ < constants::kFrontClients) {
-      client_ = std::make_unique<state::Client>(front_.context_.state_address, front_.context_.budget, state::Urgency::user);
+      client_ =
+          std::make_unique<state::Client>(front_.context_.state_address, front_.context_.budget, state::Urgency::user);
     }
     if (client_) ++front_.lent_;
   }
@@ -165,10 +166,9 @@
       spdlog::info("job {} accepted", id->text());
       return status_answer(201, {.id = *id});
     case state::Answer::conflict:
-    case state::Answer::none:   // it may have been executed, so the record is read before answering
+    case state::Answer::none:  // it may have been executed, so the record is read before answering
       return known_or(client, *id, until, come_back("the state service did not answer"));
-    default:
-      return come_back("the state service can't take it now");
+    default: return come_back("the state service can't take it now");
   }
 }
 
@@ -193,7 +193,8 @@
     if (seen.found == Found::over) return status_answer(200, seen.status);
     if (seen.found == Found::nowhere) return plain_error(404, "no such job");
     if (seen.found == Found::unknown) return come_back("the state service can't be reached");
-    const wire::JobStatus withdrawn{.id = id, .state = wire::JobState::withdrawn, .done = seen.status.done, .running = 0};
+    const wire::JobStatus withdrawn{
+        .id = id, .state = wire::JobState::withdrawn, .done = seen.status.done, .running = 0};
     const state::Txn txn = state::withdraw_txn(seen.record, seen.live.mark);
     const state::TxnResult result = client.txn(txn, until);
     if (result.answer == state::Answer::ok) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -16,7 +16,9 @@
 
 net::Deadline call_limit() { return net::Clock::now() + constants::kStateCallLimit; }
 
-bool answered(Answer answer) { return answer == Answer::ok || answer == Answer::not_found || answer == Answer::conflict; }
+bool answered(Answer answer) {
+  return answer == Answer::ok || answer == Answer::not_found || answer == Answer::conflict;
+}
 
 }  // namespace
 
@@ -62,7 +64,8 @@
 
 // A follower that serves no users hears of the state service by this watch alone. When it was held for longer than
 // silence is taken for trouble, /up failed for some seconds of every ten, and the balancer passed the node over.
-static_assert(constants::kLeaderWatchHold < constants::kPeerSilence && constants::kPeerSilence < constants::kStateSilence);
+static_assert(constants::kLeaderWatchHold < constants::kPeerSilence &&
+              constants::kPeerSilence < constants::kStateSilence);
 
 void LeaderDuty::watch(const std::stop_token& stop, const state::LeadView& view) {
   Revision from = std::max(view.holder_mark, view.term_mark);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -56,7 +56,8 @@
   static net::ServerLimits limits_of(const config::Settings& settings) {
     const auto fit = static_cast<int>((settings.ram_mb - constants::kProcessMb) / constants::kConnectionMb);
     const int most = std::max(1, std::min(settings.max_connections - constants::kConnectionReserve, fit));
-    return {.connections = most, .reserved_paths = {"/checkin", "/up"},
+    return {.connections = most,
+            .reserved_paths = {"/checkin", "/up"},
             .unreserved = std::max(1, static_cast<int>(most * constants::kUsersShare))};
   }
   static net::Address address_of(const std::string& text, const char* field) {
@@ -75,7 +76,8 @@
     const HttpResponse answer = answer_to(request);
     const bool report = request.path == "/checkin";
     if (report || request.path.starts_with("/api/")) {
-      context_.tallies.answered(report ? Tallies::Kind::report : Tallies::Kind::user, answer.status, net::Clock::now() - began);
+      context_.tallies.answered(report ? Tallies::Kind::report : Tallies::Kind::user, answer.status,
+                                net::Clock::now() - began);
     }
     return answer;
   }
@@ -155,7 +157,7 @@
   HaltDuty halt_;
   PeerDuty peers_;
   std::vector<std::jthread> duties_;
-  std::atomic<bool> started_{false};   // requests come before the server's constructor has ended
+  std::atomic<bool> started_{false};  // requests come before the server's constructor has ended
   net::HttpServer server_;
   std::optional<net::HttpServer> peer_server_;
 };
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -25,7 +25,8 @@
 }
 
 void PeerDuty::ask(net::HttpClient& sibling) {
-  const auto answer = sibling.call({.method = "GET", .path = "/lead", .body = {}}, net::Clock::now() + constants::kPeerCallLimit);
+  const auto answer =
+      sibling.call({.method = "GET", .path = "/lead", .body = {}}, net::Clock::now() + constants::kPeerCallLimit);
   if (!answer || answer->status != 200) return;
   state::TermRecord word;
   try {
--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -12,13 +12,9 @@
 
 Items thousandths(double amount) { return static_cast<Items>(std::llround(amount * 1000.0)); }
 
-Instant plus(Instant when, Millis duration) {
-  return when >= kForever - duration ? kForever : when + duration;
-}
+Instant plus(Instant when, Millis duration) { return when >= kForever - duration ? kForever : when + duration; }
 
-bool lasts(const Span& span, Millis duration) {
-  return span.stop == kForever || span.stop - span.start >= duration;
-}
+bool lasts(const Span& span, Millis duration) { return span.stop == kForever || span.stop - span.start >= duration; }
 
 // Longest spans within [from, to) in which every vector that is there has its amount free, if they last: the
 // paper's intersection of the resources' free slots, in a single sweep.
@@ -43,7 +39,8 @@
       while (!left[r].empty() && (left[r].front().stop <= cursor || left[r].front().items <= most_used)) {
         left[r] = left[r].subspan(1);
       }
-      if (!left[r].empty() && left[r].front().start < taken.start) taken = {left[r].front().start, left[r].front().stop};
+      if (!left[r].empty() && left[r].front().start < taken.start)
+        taken = {left[r].front().start, left[r].front().stop};
     }
     if (taken.start > cursor) {
       const Span free{cursor, taken.start};
@@ -261,16 +258,17 @@
 std::vector<std::uint32_t> Planner::taken_by_zone(const Request& request) const {
   std::vector<std::uint32_t> taken(zones_.size(), 0);
   for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
-    if (const auto entry = request.zone_taken.find(zones_[zone]); entry != request.zone_taken.end()) taken[zone] = entry->second;
+    if (const auto entry = request.zone_taken.find(zones_[zone]); entry != request.zone_taken.end())
+      taken[zone] = entry->second;
   }
   return taken;
 }
 
 struct Planner::Candidate {
   const PlanNode* node = nullptr;
-  Millis before{};    // fetching
+  Millis before{};  // fetching
   double weight = 0;
-  Spans spans;        // where one task fits for `before` + duration
+  Spans spans;  // where one task fits for `before` + duration
 };
 
 std::vector<Placing> Planner::plan(const Request& request) const {
@@ -290,7 +288,7 @@
 }
 
 std::vector<Placing> Planner::plan_apart(const Request& request, std::vector<Candidate> candidates) const {
-  std::map<const PlanNode*, ResourceSet> uses;   // of machines, with what this call placed
+  std::map<const PlanNode*, ResourceSet> uses;  // of machines, with what this call placed
   std::vector<Placing> placed;
   // What this call placed counts against the fleet, the team and the zones at once.
   View view = view_of(request);
@@ -361,8 +359,8 @@
   for (const Candidate* candidate : ranked) {
     const PlanNode& node = *candidate->node;
     const Instant stop = plus(start, candidate->before + request.duration);
-    const bool fits =
-        std::ranges::any_of(candidate->spans, [&](const Span& span) { return span.start <= start && stop <= span.stop; });
+    const bool fits = std::ranges::any_of(candidate->spans,
+                                          [&](const Span& span) { return span.start <= start && stop <= span.stop; });
     if (!fits) continue;
     std::int64_t count = std::min<std::int64_t>(left, request.each.count_in(node.use.free(start, stop)));
     if (request.zone_most) {
@@ -371,7 +369,8 @@
     if (count <= 0) continue;
     in_zone[node.zone] += static_cast<std::uint32_t>(count);
     left -= static_cast<std::uint32_t>(count);
-    placed.push_back({.machine = node.info.id, .start = start, .stop = stop, .count = static_cast<std::uint32_t>(count)});
+    placed.push_back(
+        {.machine = node.info.id, .start = start, .stop = stop, .count = static_cast<std::uint32_t>(count)});
     if (left == 0) return placed;
   }
   return {};
@@ -408,7 +407,8 @@
     for (const Span& span : candidate->spans) {
       edges.push_back({.at = span.start, .ends = false, .pieces = pieces, .zone = zone});
       if (span.stop == kForever) continue;
-      edges.push_back({.at = span.stop - (candidate->before + request.duration), .ends = true, .pieces = pieces, .zone = zone});
+      edges.push_back(
+          {.at = span.stop - (candidate->before + request.duration), .ends = true, .pieces = pieces, .zone = zone});
     }
   }
   for (const Span& span : free) starts.push_back(span.start);
--- a/src/plan/planner.h
+++ b/src/plan/planner.h
@@ -68,9 +68,9 @@
   std::string zone;
   bool spot = false;
   Amounts capacity;
-  Instant ready;              // before that it can't start anything
-  Instant until = kForever;   // from then on it is gone
-  int priority = 0;           // the paper's prio of a node: higher is used later
+  Instant ready;             // before that it can't start anything
+  Instant until = kForever;  // from then on it is gone
+  int priority = 0;          // the paper's prio of a node: higher is used later
 };
 
 // A team's limit; nothing: none.
@@ -93,7 +93,7 @@
 struct PlanNode {
   PlanMachine info;
   ResourceSet use;
-  std::size_t zone = 0;   // the planner's number of info.zone
+  std::size_t zone = 0;  // the planner's number of info.zone
 };
 
 // Where a job may run, and what it has to do there before it runs (image fetch).
@@ -104,23 +104,23 @@
 
 struct Request {
   std::string team;
-  Amounts each;                 // of one task
+  Amounts each;  // of one task
   std::uint32_t count = 0;
-  Millis duration{};            // estimate
+  Millis duration{};  // estimate
   Instant from;
-  Instant to = kForever;        // starts after it are of no use
-  bool together = false;        // a gang: all at the same time or none
+  Instant to = kForever;  // starts after it are of no use
+  bool together = false;  // a gang: all at the same time or none
   bool one_zone = false;
-  std::string zone_bound;       // where the job's other tasks are, when they must share it
-  std::optional<std::uint32_t> zone_most;               // of the job's tasks in one zone (spread)
-  std::map<std::string, std::uint32_t> zone_taken;      // tasks of the job that have their place already
-  Amounts keep_free;            // of the fleet, for others (the paper's FreePool)
-  std::vector<Place> places;    // in the order of the machines' names
+  std::string zone_bound;                           // where the job's other tasks are, when they must share it
+  std::optional<std::uint32_t> zone_most;           // of the job's tasks in one zone (spread)
+  std::map<std::string, std::uint32_t> zone_taken;  // tasks of the job that have their place already
+  Amounts keep_free;                                // of the fleet, for others (the paper's FreePool)
+  std::vector<Place> places;                        // in the order of the machines' names
 };
 
 struct Placing {
   MachineId machine;
-  Instant start;      // of the booking
+  Instant start;  // of the booking
   Instant stop;
   std::uint32_t count = 0;
 };
--- a/src/plan/usage_vector.h
+++ b/src/plan/usage_vector.h
@@ -35,8 +35,8 @@
   void set_max(Items max_available) { max_available_ = max_available; }
   [[nodiscard]] const std::vector<Slot>& slots() const { return slots_; }
 
-  void add(const Slot& slot);        // the paper's (+) with a circle
-  void subtract(const Slot& slot);   // its inverse; nothing falls below zero
+  void add(const Slot& slot);       // the paper's (+) with a circle
+  void subtract(const Slot& slot);  // its inverse; nothing falls below zero
   UsageVector& operator+=(const UsageVector& other);
   UsageVector& operator-=(const UsageVector& other);
 
@@ -59,7 +59,7 @@
 
   Items max_available_ = 0;
   Items defect_ = 0;
-  std::vector<Slot> slots_;   // sorted, disjoint, none without use, neighbours differ
+  std::vector<Slot> slots_;  // sorted, disjoint, none without use, neighbours differ
 };
 
 // Where both have a slot, the smaller number of items; pieces shorter than `duration` are left out.
--- a/src/state/budget.h
+++ b/src/state/budget.h
@@ -8,7 +8,7 @@
 
 namespace foxshunt::state {
 
-enum class Urgency { duty, user };   // users' polls leave a reserve to leadership, records and leases
+enum class Urgency { duty, user };  // users' polls leave a reserve to leadership, records and leases
 
 class RateBudget {
  public:
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -29,8 +29,8 @@
                          net::Deadline until) {
   const auto turn = urgency_ == Urgency::user ? std::min(until, net::Clock::now() + constants::kBudgetWait) : until;
   if (!budget_->take(changes, urgency_, turn)) return {.answer = Answer::refused, .body = {}};
-  const auto answer =
-      http_.call({.method = method, .path = path, .body = body == nullptr ? std::string() : wire::encode(*body)}, until);
+  const auto answer = http_.call(
+      {.method = method, .path = path, .body = body == nullptr ? std::string() : wire::encode(*body)}, until);
   if (!answer) return {};
   if (answer->status == 429) budget_->overdrawn();
   Raw raw{.answer = answer_of(answer->status), .body = {}};
@@ -148,10 +148,10 @@
 
 FollowResult Client::follow(const std::string& prefix, Revision from, std::chrono::milliseconds hold,
                             net::Deadline until) {
-  const Raw raw = call("GET",
-                       "/follow?starts=" + prefix + "&from=" + std::to_string(from.number()) +
-                           "&holdMs=" + std::to_string(hold.count()),
-                       nullptr, 0, until);
+  const Raw raw = call(
+      "GET",
+      "/follow?starts=" + prefix + "&from=" + std::to_string(from.number()) + "&holdMs=" + std::to_string(hold.count()),
+      nullptr, 0, until);
   FollowResult result{.answer = raw.answer, .revision = from, .events = {}};
   if (raw.answer != Answer::ok) return result;
   try {
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -69,11 +69,10 @@
 Value to_value(const PartRecord& part) {
   Value::List runs;
   for (const RunRecord& run : part.runs) {
-    runs.emplace_back(Value::List{std::uint64_t{run.index}, run.attempt.number(), run.machine.text(), run.session.number()});
+    runs.emplace_back(
+        Value::List{std::uint64_t{run.index}, run.attempt.number(), run.machine.text(), run.session.number()});
   }
-  return Value::Map{{"next", part.next.number()},
-                    {"done", bits_to_text(part.done)},
-                    {"runs", std::move(runs)}};
+  return Value::Map{{"next", part.next.number()}, {"done", bits_to_text(part.done)}, {"runs", std::move(runs)}};
 }
 
 PartRecord part_from(const Value& value, std::uint32_t size) {
--- a/src/state/records.h
+++ b/src/state/records.h
@@ -44,16 +44,16 @@
 };
 
 struct PartRecord {
-  AttemptNo next{1};           // attempts below it were used
-  std::vector<bool> done;      // by index within the part
+  AttemptNo next{1};       // attempts below it were used
+  std::vector<bool> done;  // by index within the part
   std::vector<RunRecord> runs;
 };
 
 struct JobRecord {
   wire::JobSpec spec;
   std::int64_t submitted_wall_ms = 0;
-  std::optional<PartRecord> whole;   // of a job that fits one part
-  std::uint64_t done_shown = 0;      // of a job in parts, for display
+  std::optional<PartRecord> whole;  // of a job that fits one part
+  std::uint64_t done_shown = 0;     // of a job in parts, for display
   std::uint64_t running_shown = 0;
 };
 
@@ -70,10 +70,10 @@
 
 // What lead/term and lead/holder say, and the transaction that takes the lead in the next term.
 struct LeadView {
-  Revision holder_mark;                     // 0: nobody leads
+  Revision holder_mark;  // 0: nobody leads
   Revision term_mark;
   TermRecord record;
-  std::int64_t others_until_wall_ms = 0;    // until then leaders before `record` may answer workers
+  std::int64_t others_until_wall_ms = 0;  // until then leaders before `record` may answer workers
 };
 [[nodiscard]] LeadView lead_view(const GetResult& holder, const GetResult& term);
 // `others_until_wall_ms`: until when any older leader may answer workers, by the time of day.
@@ -86,7 +86,7 @@
 [[nodiscard]] std::uint32_t part_size(std::uint32_t tasks, std::uint32_t part);
 
 [[nodiscard]] wire::Value to_value(const PartRecord& part);
-[[nodiscard]] PartRecord part_from(const wire::Value& value, std::uint32_t size);   // throws Malformed
+[[nodiscard]] PartRecord part_from(const wire::Value& value, std::uint32_t size);  // throws Malformed
 [[nodiscard]] wire::Value to_value(const JobRecord& job);
 [[nodiscard]] JobRecord job_from(const wire::Value& value);
 [[nodiscard]] wire::Value over_value(const wire::JobStatus& status);
--- a/src/state/txn.h
+++ b/src/state/txn.h
@@ -13,12 +13,12 @@
 
 enum class Answer {
   ok,
-  not_found,   // 404
-  conflict,    // 409: a condition failed, nothing was changed
-  refused,     // 429 or 503: not executed
-  too_old,     // 410: the watch must start again
-  rejected,    // 400: the request can't be taken
-  none,        // no answer: it may have been executed, or may be yet
+  not_found,  // 404
+  conflict,   // 409: a condition failed, nothing was changed
+  refused,    // 429 or 503: not executed
+  too_old,    // 410: the watch must start again
+  rejected,   // 400: the request can't be taken
+  none,       // no answer: it may have been executed, or may be yet
 };
 
 struct Entry {
@@ -35,7 +35,7 @@
 struct ListResult {
   Answer answer = Answer::none;
   std::vector<Entry> entries;
-  Revision revision;   // of the first page: a watch from there misses nothing
+  Revision revision;  // of the first page: a watch from there misses nothing
 };
 
 struct LeaseId {
@@ -44,12 +44,12 @@
 
 struct Condition {
   std::string key;
-  Revision mark;   // 0: must not exist
+  Revision mark;  // 0: must not exist
 };
 
 struct Change {
   std::string key;
-  std::optional<wire::Value> data;   // nothing: remove
+  std::optional<wire::Value> data;  // nothing: remove
   std::optional<LeaseId> lease;
 };
 
@@ -66,7 +66,7 @@
 
 struct Event {
   std::string key;
-  std::optional<wire::Value> data;   // nothing: removed
+  std::optional<wire::Value> data;  // nothing: removed
   Revision mark;
 };
 
--- a/src/wire/ids.h
+++ b/src/wire/ids.h
@@ -39,9 +39,9 @@
 using MachineId = TextId<struct MachineTag>;
 using NodeName = TextId<struct NodeTag>;
 using AttemptNo = CountId<struct AttemptTag>;
-using SessionNo = CountId<struct SessionTag>;   // grows each time a worker's lease expires
-using Term = CountId<struct TermTag>;           // grows with each leader; 0: none
-using Revision = CountId<struct RevisionTag>;   // of the state service; 0: the key does not exist
+using SessionNo = CountId<struct SessionTag>;  // grows each time a worker's lease expires
+using Term = CountId<struct TermTag>;          // grows with each leader; 0: none
+using Revision = CountId<struct RevisionTag>;  // of the state service; 0: the key does not exist
 
 struct TaskKey {
   JobId job;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -259,9 +259,8 @@
 Value::List command_list(const std::vector<Command>& commands) {
   Value::List list;
   for (const Command& command : commands) {
-    Value::Map entry{{"call", kCommands.of(command.kind)},
-                     {"cub", command.task.text()},
-                     {"try", command.attempt.number()}};
+    Value::Map entry{
+        {"call", kCommands.of(command.kind)}, {"cub", command.task.text()}, {"try", command.attempt.number()}};
     if (command.kind == CommandKind::halt) entry.emplace_back("slinkS", command.grace_s);
     list.emplace_back(std::move(entry));
   }
@@ -280,9 +279,8 @@
 
 std::vector<Command> commands_from(const Value& body) {
   return list_of<Command>(body.list("calls"), [](const Value& entry) {
-    Command command{.kind = kCommands.from(entry, "call"),
-                    .task = required_task(entry),
-                    .attempt = AttemptNo(entry.count("try"))};
+    Command command{
+        .kind = kCommands.from(entry, "call"), .task = required_task(entry), .attempt = AttemptNo(entry.count("try"))};
     if (command.kind == CommandKind::halt && !entry["slinkS"].is_null()) command.grace_s = entry.amount("slinkS");
     return command;
   });
@@ -295,16 +293,17 @@
 
 std::vector<MachineType> machine_types_from(const Value& body) {
   return list_of<MachineType>(body.list("burrows"), [](const Value& entry) {
-    return MachineType{.name = name_from(entry, "name"),
-                       .cpus = entry.amount("cpus"),
-                       .gpus = entry["cards"].is_null() ? 0 : entry.amount("cards"),
-                       .ram_gb = entry.amount("ramGb"),
-                       .cache_gb = entry.amount("cacheGb"),
-                       .fetch_gb_per_s = entry.amount("fetchGbPerS"),
-                       .price = entry.amount("hourly"),
-                       .spot_price = entry["marketPrice"].is_null() ? entry.amount("hourly") : entry.amount("marketPrice"),
-                       .boot_s = entry.amount("bootS"),
-                       .zones = list_of<std::string>(entry.list("coverts"), text_item)};
+    return MachineType{
+        .name = name_from(entry, "name"),
+        .cpus = entry.amount("cpus"),
+        .gpus = entry["cards"].is_null() ? 0 : entry.amount("cards"),
+        .ram_gb = entry.amount("ramGb"),
+        .cache_gb = entry.amount("cacheGb"),
+        .fetch_gb_per_s = entry.amount("fetchGbPerS"),
+        .price = entry.amount("hourly"),
+        .spot_price = entry["marketPrice"].is_null() ? entry.amount("hourly") : entry.amount("marketPrice"),
+        .boot_s = entry.amount("bootS"),
+        .zones = list_of<std::string>(entry.list("coverts"), text_item)};
   });
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -51,7 +51,7 @@
 
 [[nodiscard]] bool is_job_id(std::string_view text);
 [[nodiscard]] std::optional<JobId> peek_job_id(const Value& body);
-[[nodiscard]] JobSpec job_spec_from(const Value& body);   // throws Malformed
+[[nodiscard]] JobSpec job_spec_from(const Value& body);  // throws Malformed
 [[nodiscard]] Value to_value(const JobSpec& spec);
 [[nodiscard]] Value to_value(const JobStatus& status);
 [[nodiscard]] JobStatus job_status_from(const Value& body);
@@ -94,7 +94,7 @@
 };
 
 [[nodiscard]] std::optional<TaskKey> task_key_from(std::string_view text);
-[[nodiscard]] Report report_from(const Value& body);   // throws Malformed
+[[nodiscard]] Report report_from(const Value& body);  // throws Malformed
 [[nodiscard]] Value to_value(const Report& report);
 [[nodiscard]] Value report_answer(Term term, const std::vector<Command>& commands);
 [[nodiscard]] Value direct_commands(Term term, SessionNo session, const std::vector<Command>& commands);
--- a/src/wire/value.cpp
+++ b/src/wire/value.cpp
@@ -8,8 +8,8 @@
 namespace foxshunt::wire {
 namespace {
 
-constexpr std::size_t kMaxDepth = 16;           // deepest message of PROTOCOL has 6 levels
-constexpr std::size_t kMaxItems = 200'000;      // a state listing of 512 KiB stays far below
+constexpr std::size_t kMaxDepth = 16;       // deepest message of PROTOCOL has 6 levels
+constexpr std::size_t kMaxItems = 200'000;  // a state listing of 512 KiB stays far below
 
 // Builds a Value from libcbor's streaming callbacks. Nothing is reserved by announced lengths, so an absurd
 // length costs nothing: it ends as a message that is too short.
@@ -198,9 +198,7 @@
   out.append(reinterpret_cast<const char*>(small.data()), length);
 }
 
-[[noreturn]] void missing(std::string_view key, const char* want) {
-  throw Malformed(std::string(key) + ": " + want);
-}
+[[noreturn]] void missing(std::string_view key, const char* want) { throw Malformed(std::string(key) + ": " + want); }
 
 }  // namespace
 
@@ -209,8 +207,8 @@
   Builder build;
   std::size_t at = 0;
   while (!build.done()) {
-    const cbor_decoder_result step = cbor_stream_decode(reinterpret_cast<cbor_data>(bytes.data()) + at,
-                                                        bytes.size() - at, &kCallbacks, &build);
+    const cbor_decoder_result step =
+        cbor_stream_decode(reinterpret_cast<cbor_data>(bytes.data()) + at, bytes.size() - at, &kCallbacks, &build);
     if (step.status == CBOR_DECODER_NEDATA) throw Malformed("CBOR ends early");
     if (step.status != CBOR_DECODER_FINISHED) throw Malformed("not CBOR");
     if (build.error() != nullptr) throw Malformed(build.error());
--- a/tests/bench/benchmarks.cpp
+++ b/tests/bench/benchmarks.cpp
@@ -71,7 +71,8 @@
   }
   state.counters["jobs"] = static_cast<double>(fleet.engine().jobs().size());
 }
-BENCHMARK(plan_pass)->Args({20, 0})->Args({40, 0})->Args({20, 1})->Args({40, 1})->Iterations(100)->Unit(benchmark::kMicrosecond);
+BENCHMARK(plan_pass)->Args({20, 0})->Args({40, 0})->Args({20, 1})->Args({40, 1})->Iterations(100)->Unit(
+    benchmark::kMicrosecond);
 
 // From a report's bytes to the bytes of its answer.
 void report(benchmark::State& state) {
@@ -117,7 +118,8 @@
   spec.image = "img";
   state::JobRecord record = state::new_job(spec, 1'800'000'000'000);
   for (std::uint32_t index = 0; index < tasks; index += 2) {
-    record.whole->runs.push_back({.index = index, .attempt = AttemptNo(2), .machine = MachineId("m-000123"), .session = SessionNo(1)});
+    record.whole->runs.push_back(
+        {.index = index, .attempt = AttemptNo(2), .machine = MachineId("m-000123"), .session = SessionNo(1)});
   }
   return record;
 }
@@ -157,14 +159,16 @@
     const std::size_t with_machines = held();
     const std::size_t first = fleet.engine().jobs().size();
     std::size_t tasks = 0;
-    for (std::size_t i = 0; i < kJobs; ++i) fleet.add_job(true);   // gangs of 1 to 16 tasks, none of which runs
+    for (std::size_t i = 0; i < kJobs; ++i) fleet.add_job(true);  // gangs of 1 to 16 tasks, none of which runs
     const std::size_t with_jobs = held();
     fleet.pass();
     for (const auto& [unused_id, job] : fleet.engine().jobs()) tasks += job.runs_count;
     const std::size_t with_runs = held();
     state.counters["bytes_a_machine"] = static_cast<double>(with_machines - empty) / kMachines;
-    state.counters["bytes_a_job"] = static_cast<double>(with_jobs - with_machines) / static_cast<double>(fleet.engine().jobs().size() - first);
-    state.counters["bytes_a_placed_task_and_plan"] = static_cast<double>(with_runs - with_jobs) / static_cast<double>(tasks);
+    state.counters["bytes_a_job"] =
+        static_cast<double>(with_jobs - with_machines) / static_cast<double>(fleet.engine().jobs().size() - first);
+    state.counters["bytes_a_placed_task_and_plan"] =
+        static_cast<double>(with_runs - with_jobs) / static_cast<double>(tasks);
     state.counters["placed"] = static_cast<double>(tasks);
   }
 }
@@ -193,7 +197,8 @@
   Counted counted(state);
   for (auto unused : state) {
     counted.begin();
-    benchmark::DoNotOptimize(client.call({.method = "POST", .path = "/checkin", .body = body}, net::Clock::now() + std::chrono::seconds(5)));
+    benchmark::DoNotOptimize(
+        client.call({.method = "POST", .path = "/checkin", .body = body}, net::Clock::now() + std::chrono::seconds(5)));
     counted.end();
   }
 }
--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -35,10 +35,27 @@
 }
 
 std::vector<Supply> day_supplies() {
-  return {{.type = {.name = "plain", .cpus = 16, .ram_gb = 64, .cache_gb = 50, .fetch_gb_per_s = 0.5, .price = 1, .spot_price = 0.3, .boot_s = 15, .zones = {"a", "b"}},
+  return {{.type = {.name = "plain",
+                    .cpus = 16,
+                    .ram_gb = 64,
+                    .cache_gb = 50,
+                    .fetch_gb_per_s = 0.5,
+                    .price = 1,
+                    .spot_price = 0.3,
+                    .boot_s = 15,
+                    .zones = {"a", "b"}},
            .each_zone = 3,
            .spot_each_zone = 2},
-          {.type = {.name = "gpu", .cpus = 16, .gpus = 4, .ram_gb = 64, .cache_gb = 50, .fetch_gb_per_s = 0.5, .price = 5, .spot_price = 2, .boot_s = 20, .zones = {"a"}},
+          {.type = {.name = "gpu",
+                    .cpus = 16,
+                    .gpus = 4,
+                    .ram_gb = 64,
+                    .cache_gb = 50,
+                    .fetch_gb_per_s = 0.5,
+                    .price = 5,
+                    .spot_price = 2,
+                    .boot_s = 20,
+                    .zones = {"a"}},
            .each_zone = 2,
            .spot_each_zone = 1}};
 }
@@ -47,7 +64,8 @@
 
 TEST_P(Days, KeepTheRules) {
   // A day is watched with LOG_LEVEL=info.
-  spdlog::set_level(std::getenv("LOG_LEVEL") == nullptr ? spdlog::level::off : spdlog::level::from_str(std::getenv("LOG_LEVEL")));
+  spdlog::set_level(std::getenv("LOG_LEVEL") == nullptr ? spdlog::level::off
+                                                        : spdlog::level::from_str(std::getenv("LOG_LEVEL")));
   const unsigned seed = GetParam();
   std::mt19937 random(seed * 7919U);
   const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
@@ -63,7 +81,8 @@
     spec.id = JobId("j-" + std::string(std::max<std::size_t>(6, number.size()) - number.size(), '0') + number);
     spec.team = pick(0, 1) == 0 ? "red" : "blue";
     spec.job_class = pick(0, 1) == 0 ? "quick" : "bulk";
-    spec.kind = std::vector{wire::JobKind::array, wire::JobKind::gang, wire::JobKind::array, wire::JobKind::service}[static_cast<std::size_t>(pick(0, 3))];
+    spec.kind = std::vector{wire::JobKind::array, wire::JobKind::gang, wire::JobKind::array,
+                            wire::JobKind::service}[static_cast<std::size_t>(pick(0, 3))];
     spec.priority = static_cast<wire::Priority>(pick(0, 3));
     const bool gpus = pick(0, 3) == 0;
     spec.cpus = gpus ? 2 : pick(1, 10);
@@ -111,17 +130,41 @@
       case 4: world.at(when_s, [&world, node, for_s, hold] { world.cut_node_from_state(node, for_s, hold); }); break;
       case 5: world.at(when_s, [&world, node, for_s] { world.cut_node_from_workers(node, for_s); }); break;
       case 6:
-      case 7: world.at(when_s, [&world, machine, for_s, hold] { if (const auto id = machine()) world.cut_worker(*id, for_s, hold); }); break;
-      case 8: world.at(when_s, [&world, machine, for_s] { if (const auto id = machine()) world.hang(*id, for_s); }); break;
-      case 9: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.die(*id); }); break;
-      case 10: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.notice(*id, 8); }); break;
-      case 11: world.at(when_s, [&world, node, for_s, duty = static_cast<Duty>(pick(0, kDutyNames.size() - 1))] { world.delay_duty(node, duty, for_s); }); break;
+      case 7:
+        world.at(when_s, [&world, machine, for_s, hold] {
+          if (const auto id = machine()) world.cut_worker(*id, for_s, hold);
+        });
+        break;
+      case 8:
+        world.at(when_s, [&world, machine, for_s] {
+          if (const auto id = machine()) world.hang(*id, for_s);
+        });
+        break;
+      case 9:
+        world.at(when_s, [&world, machine] {
+          if (const auto id = machine()) world.die(*id);
+        });
+        break;
+      case 10:
+        world.at(when_s, [&world, machine] {
+          if (const auto id = machine()) world.notice(*id, 8);
+        });
+        break;
+      case 11:
+        world.at(when_s, [&world, node, for_s, duty = static_cast<Duty>(pick(0, kDutyNames.size() - 1))] {
+          world.delay_duty(node, duty, for_s);
+        });
+        break;
       case 12:
         for (std::size_t duty = 0; duty < kDutyNames.size(); ++duty) {
           world.at(when_s, [&world, node, for_s, duty] { world.delay_duty(node, static_cast<Duty>(duty), for_s); });
         }
         break;
-      default: world.at(when_s, [&world, machine] { if (const auto id = machine()) world.make_faulty(*id); }); break;
+      default:
+        world.at(when_s, [&world, machine] {
+          if (const auto id = machine()) world.make_faulty(*id);
+        });
+        break;
     }
   }
   world.run_until(600);
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -101,16 +101,26 @@
 
   void read(const Words& words, int line) {
     const std::string& verb = words[0];
-    if (verb == "seed") seed_ = static_cast<unsigned>(std::stoul(words.at(1)));
-    else if (verb == "nodes") nodes_ = node(words.at(1));
-    else if (verb == "settings") read_settings(words);
-    else if (verb == "type") read_type(words);
-    else if (verb == "team") read_team(words);
-    else if (verb == "objective") read_objective(words);
-    else if (verb == "up") world().start_up(words.at(1), words.at(2), std::stoul(words.at(3)));
-    else if (verb == "end") end_s_ = std::stod(words.at(1));
-    else if (verb == "at") read_event(std::stod(words.at(1)), Words(words.begin() + 2, words.end()), line);
-    else throw std::runtime_error("unknown command " + verb);
+    if (verb == "seed")
+      seed_ = static_cast<unsigned>(std::stoul(words.at(1)));
+    else if (verb == "nodes")
+      nodes_ = node(words.at(1));
+    else if (verb == "settings")
+      read_settings(words);
+    else if (verb == "type")
+      read_type(words);
+    else if (verb == "team")
+      read_team(words);
+    else if (verb == "objective")
+      read_objective(words);
+    else if (verb == "up")
+      world().start_up(words.at(1), words.at(2), std::stoul(words.at(3)));
+    else if (verb == "end")
+      end_s_ = std::stod(words.at(1));
+    else if (verb == "at")
+      read_event(std::stod(words.at(1)), Words(words.begin() + 2, words.end()), line);
+    else
+      throw std::runtime_error("unknown command " + verb);
   }
 
   void read_settings(const Words& words) {
@@ -187,11 +197,15 @@
       });
     } else if (verb == "outage") {
       does([this, words] {
-        if (words.at(1) == "state") world().state_outage(std::stod(words.at(2)));
-        else world().cloud_outage(std::stod(words.at(2)));
+        if (words.at(1) == "state")
+          world().state_outage(std::stod(words.at(2)));
+        else
+          world().cloud_outage(std::stod(words.at(2)));
+      });
+    } else if (verb == "cut_state") {  // of a node
+      does([this, words] {
+        world().cut_node_from_state(which(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold");
       });
-    } else if (verb == "cut_state") {   // of a node
-      does([this, words] { world().cut_node_from_state(which(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold"); });
     } else if (verb == "late") {
       const auto name = std::ranges::find_if(kDutyNames, [&](const char* one) { return words.at(1) == one; });
       if (name == kDutyNames.end() && words.at(1) != "all") throw std::runtime_error("no such duty: " + words.at(1));
@@ -204,7 +218,9 @@
     } else if (verb == "cut_workers") {
       does([this, words] { world().cut_node_from_workers(which(words.at(1)), std::stod(words.at(2))); });
     } else if (verb == "cut") {
-      does([this, words] { world().cut_worker(machine(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold"); });
+      does([this, words] {
+        world().cut_worker(machine(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold");
+      });
     } else if (verb == "hang") {
       does([this, words] { world().hang(machine(words.at(1)), std::stod(words.at(2))); });
     } else if (verb == "die") {
@@ -227,7 +243,9 @@
     wire::JobSpec& spec = submission.spec;
     spec.id = JobId(words.at(1));
     const std::string kind = options.text("kind", "array");
-    spec.kind = kind == "gang" ? wire::JobKind::gang : kind == "service" ? wire::JobKind::service : wire::JobKind::array;
+    spec.kind = kind == "gang"      ? wire::JobKind::gang
+                : kind == "service" ? wire::JobKind::service
+                                    : wire::JobKind::array;
     const std::string priority = options.text("priority", "standard");
     spec.priority = priority == "production" ? wire::Priority::production
                     : priority == "high"     ? wire::Priority::high
@@ -261,7 +279,7 @@
     if (what.starts_with("j-") && what.find('/') == std::string::npos) {
       const JobId id(what);
       const std::string& verb = words.at(2);
-      if (verb == "started") {   // before T | after T | never
+      if (verb == "started") {  // before T | after T | never
         const auto start = world().first_start_s(id);
         if (words.at(3) == "never") {
           EXPECT_FALSE(start) << "started at " << start.value_or(0);
@@ -294,7 +312,7 @@
       }
       return;
     }
-    if (what == "machines") {   // exactly | at_least | at_most N
+    if (what == "machines") {  // exactly | at_least | at_most N
       const std::size_t count = std::stoul(words.at(3));
       if (words.at(2) == "at_least") {
         EXPECT_GE(world().machines_up(), count);
--- a/tests/smoke/processes.cpp
+++ b/tests/smoke/processes.cpp
@@ -55,7 +55,8 @@
     json siblings = json::array();
     for (std::size_t other = 0; other < nodes; ++other) {
       if (other == node) continue;
-      siblings.push_back({{"host_name", "node-" + std::to_string(other)}, {"zone", "a"}, {"endpoint", peers[other].text()}});
+      siblings.push_back(
+          {{"host_name", "node-" + std::to_string(other)}, {"zone", "a"}, {"endpoint", peers[other].text()}});
     }
     const json deploy = {
         {"host_name", "node-" + std::to_string(node)},
@@ -69,7 +70,8 @@
           {"zones", {"a"}},
           {"teams", {{{"name", "red"}, {"cpus", 8.0}, {"cpus_max", 16.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}}},
           {"objectives", json::array()},
-          {"workers", {{"report_s", 0.5}, {"lease_s", 5.0}, {"gang_wait_s", 10.0}, {"gang_peer_s", 2.0}, {"cancel_s", 20.0}}},
+          {"workers",
+           {{"report_s", 0.5}, {"lease_s", 5.0}, {"gang_wait_s", 10.0}, {"gang_peer_s", 2.0}, {"cancel_s", 20.0}}},
           {"state", {{"rps", 400.0}, {"write_rps", 100.0}, {"value_kb", 8.0}, {"txn_ops", 24}}},
           {"cloud", {{"rps", 20.0}, {"list_lag_s", 0.0}}},
           {"limits", {{"cpu", 1.0}, {"ram_mb", 42.0}, {"max_connections", 700}}},
@@ -113,7 +115,8 @@
 bool Cluster::wait_until_up(std::size_t node) const {
   for (int tries = 0; tries < 600; ++tries) {
     net::HttpClient client(addresses_[node], std::chrono::milliseconds(500));
-    const auto answer = client.call({.method = "GET", .path = "/up", .body = {}}, net::Clock::now() + std::chrono::seconds(2));
+    const auto answer =
+        client.call({.method = "GET", .path = "/up", .body = {}}, net::Clock::now() + std::chrono::seconds(2));
     if (answer && answer->status == 200) return true;
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
--- a/tests/smoke/processes.h
+++ b/tests/smoke/processes.h
@@ -29,7 +29,7 @@
  private:
   std::filesystem::path folder_;
   standins::HttpState state_;
-  std::vector<net::Socket> ports_;   // held for the nodes
+  std::vector<net::Socket> ports_;  // held for the nodes
   std::vector<net::Address> addresses_;
   std::vector<pid_t> pids_;
   std::unique_ptr<standins::HttpCloud> cloud_;
--- a/tests/smoke/smoke_test.cpp
+++ b/tests/smoke/smoke_test.cpp
@@ -31,7 +31,9 @@
 std::string job_file(const Cluster& cluster, const wire::JobSpec& spec, const std::string& team = "red") {
   const std::filesystem::path path = cluster.folder() / (spec.id.text() + ".json");
   std::ofstream(path) << R"({"id":")" << spec.id.text() << R"(","breed":"work","pack":")" << team << R"(","gait":")"
-                      << (spec.kind == wire::JobKind::service ? "service" : spec.kind == wire::JobKind::gang ? "ensemble" : "array")
+                      << (spec.kind == wire::JobKind::service ? "service"
+                          : spec.kind == wire::JobKind::gang  ? "ensemble"
+                                                              : "array")
                       << R"(","rank":"standard","cubs":)" << spec.tasks << R"(,"cpus":)" << spec.cpus
                       << R"(,"cards":0,"ramGb":1.0,"pelt":"img","pullGb":0.1,"burrows":null,"covert":null,)"
                       << R"("samePlace":false,"spread":false,"strays":false,"runS":)" << spec.estimate_s
@@ -43,7 +45,8 @@
 
 net::HttpResponse post(const net::Address& address, const std::string& path, const std::string& body) {
   net::HttpClient client(address, std::chrono::seconds(1));
-  const auto answer = client.call({.method = "POST", .path = path, .body = body}, net::Clock::now() + std::chrono::seconds(10));
+  const auto answer =
+      client.call({.method = "POST", .path = path, .body = body}, net::Clock::now() + std::chrono::seconds(10));
   return answer.value_or(net::HttpResponse{.status = 0, .body = {}, .retry_after_s = {}});
 }
 
@@ -60,7 +63,7 @@
   ran = run("status --wait " + to(cluster, 1) + "j-000001");
   EXPECT_EQ(ran.code, 0);
   EXPECT_NE(ran.out.find("j-000001 done done 5 running 0"), std::string::npos) << ran.out;
-  ran = run("submit " + to(cluster, 2) + job_file(cluster, array));   // again
+  ran = run("submit " + to(cluster, 2) + job_file(cluster, array));  // again
   EXPECT_EQ(ran.out, "j-000001 done done 5 running 0\n");
 
   const wire::JobSpec gang = job("j-000002", 3, wire::JobKind::gang);
@@ -72,7 +75,7 @@
 
   // Any node tells what it counts, the leader also why a job waits.
   std::size_t leaders = 0;
-  const wire::JobSpec broad = job("j-000005", 90);   // more than the team may run at once
+  const wire::JobSpec broad = job("j-000005", 90);  // more than the team may run at once
   cluster.cloud().upload(broad, 0.3);
   EXPECT_EQ(run("submit " + to(cluster, 1) + job_file(cluster, broad)).code, 0);
   for (std::size_t node = 0; node < 3; ++node) {
@@ -110,7 +113,8 @@
   for (int probe = 0; probe < 22; ++probe) {
     for (std::size_t node = 0; node < 2; ++node) {
       net::HttpClient client(cluster.address(node), std::chrono::seconds(1));
-      const auto answer = client.call({.method = "GET", .path = "/up", .body = {}}, net::Clock::now() + std::chrono::seconds(10));
+      const auto answer =
+          client.call({.method = "GET", .path = "/up", .body = {}}, net::Clock::now() + std::chrono::seconds(10));
       ASSERT_TRUE(answer);
       ASSERT_EQ(answer->status, 200) << "node " << node << ", probe " << probe;
     }
@@ -177,11 +181,12 @@
   Cluster cluster(1);
   cluster.start(0);
   ASSERT_TRUE(cluster.wait_until_up(0));
-  constexpr double kRamMb = 42;   // as in the cluster's settings
+  constexpr double kRamMb = 42;  // as in the cluster's settings
   const int bound = static_cast<int>((kRamMb - constants::kProcessMb) / constants::kConnectionMb);
   const int users_share = static_cast<int>(bound * constants::kUsersShare);
   const auto call = [](net::HttpClient& client, const net::HttpRequest& request) {
-    return client.call(request, net::Clock::now() + std::chrono::seconds(10)).value_or(net::HttpResponse{.status = 0, .body = {}, .retry_after_s = {}});
+    return client.call(request, net::Clock::now() + std::chrono::seconds(10))
+        .value_or(net::HttpResponse{.status = 0, .body = {}, .retry_after_s = {}});
   };
   const auto connect = [&] { return std::make_unique<net::HttpClient>(cluster.address(0), std::chrono::seconds(5)); };
   std::vector<std::unique_ptr<net::HttpClient>> users;
@@ -198,16 +203,28 @@
   EXPECT_GT(taken, users_share - 10);
   EXPECT_EQ(call(*connect(), {.method = "GET", .path = "/up", .body = {}}).status, 200);
   std::vector<std::unique_ptr<net::HttpClient>> workers;
-  for (int i = 0; i < bound - users_share - 10; ++i) {   // a few places are the cluster's own cloud's
+  for (int i = 0; i < bound - users_share - 10; ++i) {  // a few places are the cluster's own cloud's
     const std::string number = std::to_string(500'000 + i);
-    const wire::Report report{.machine = MachineId("m-" + number), .address = "127.0.0.1:1", .type = "plain", .zone = "a",
-                              .session = SessionNo(1), .sequence = 1, .term = Term(0), .notice_s = {}, .tasks = {}};
+    const wire::Report report{.machine = MachineId("m-" + number),
+                              .address = "127.0.0.1:1",
+                              .type = "plain",
+                              .zone = "a",
+                              .session = SessionNo(1),
+                              .sequence = 1,
+                              .term = Term(0),
+                              .notice_s = {},
+                              .tasks = {}};
     workers.push_back(connect());
-    EXPECT_EQ(call(*workers.back(), {.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))}).status, 200) << i;
+    EXPECT_EQ(
+        call(*workers.back(), {.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))})
+            .status,
+        200)
+        << i;
   }
   const long resident = resident_kib(cluster.pid(0));
-  std::cout << "resident with " << taken << " users and " << workers.size() << " workers connected: " << resident << " KiB\n";
-  EXPECT_LT(resident, static_cast<long>((kRamMb - 9) * 1024));   // room for a takeover
+  std::cout << "resident with " << taken << " users and " << workers.size() << " workers connected: " << resident
+            << " KiB\n";
+  EXPECT_LT(resident, static_cast<long>((kRamMb - 9) * 1024));  // room for a takeover
   // Each of them still works.
   for (int i = 0; i < users_share; i += 50) {
     EXPECT_EQ(call(*users[static_cast<std::size_t>(i)], {.method = "GET", .path = "/up", .body = {}}).status, 200);
--- a/tests/standins/http_world.cpp
+++ b/tests/standins/http_world.cpp
@@ -14,7 +14,9 @@
 
 Instant now() { return std::chrono::floor<Millis>(net::Clock::now()); }
 
-HttpResponse reply(int status, const Value& body) { return {.status = status, .body = wire::encode(body), .retry_after_s = {}}; }
+HttpResponse reply(int status, const Value& body) {
+  return {.status = status, .body = wire::encode(body), .retry_after_s = {}};
+}
 
 }  // namespace
 
@@ -81,7 +83,8 @@
   if (request.method == "GET" && path.starts_with("/kv/")) {
     const state::GetResult found = store_.get(path.substr(4));
     if (found.answer != state::Answer::ok) return reply(404, Value::Map{{"tally", store_.revision().number()}});
-    return reply(200, Value::Map{{"k", found.entry.key}, {"data", found.entry.data}, {"mark", found.entry.mark.number()}});
+    return reply(200,
+                 Value::Map{{"k", found.entry.key}, {"data", found.entry.data}, {"mark", found.entry.mark.number()}});
   }
   if (path == "/leases") {
     const auto ttl = static_cast<std::int64_t>(wire::decode(request.body).count("ttlMs"));
@@ -128,7 +131,15 @@
     : nodes_(std::move(nodes)),
       report_s_(report_s),
       lease_s_(lease_s),
-      type_{.name = "plain", .cpus = 8, .ram_gb = 32, .cache_gb = 10, .fetch_gb_per_s = 10, .price = 1, .spot_price = 0.3, .boot_s = 0.2, .zones = {"a"}},
+      type_{.name = "plain",
+            .cpus = 8,
+            .ram_gb = 32,
+            .cache_gb = 10,
+            .fetch_gb_per_s = 10,
+            .price = 1,
+            .spot_price = 0.3,
+            .boot_s = 0.2,
+            .zones = {"a"}},
       server_(std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 50},
                                                 [this](const HttpRequest& request) { return handle(request); })) {}
 
@@ -194,7 +205,8 @@
         machine.zone = body.text("covert");
         machine.spot = body.flag("strays");
         machine.rented = now();
-        machine.worker = std::make_unique<Worker>(id, type_, machine.zone, machine.spot, control::from_seconds(lease_s_), *this, now());
+        machine.worker = std::make_unique<Worker>(id, type_, machine.zone, machine.spot,
+                                                  control::from_seconds(lease_s_), *this, now());
         machine.thread = std::jthread([this, id](const std::stop_token& stop) { live(stop, id); });
         rented.push_back(id);
       }
@@ -204,8 +216,13 @@
   Value::List list;
   for (const auto& [id, machine] : machines_) {
     if (machine.gone) continue;
-    list.emplace_back(Value::Map{{"id", id.text()}, {"addr", "127.0.0.1:1"}, {"burrow", type_.name}, {"covert", machine.zone},
-                                 {"strays", machine.spot}, {"scent", "running"}, {"ageS", control::to_seconds(now() - machine.rented)}});
+    list.emplace_back(Value::Map{{"id", id.text()},
+                                 {"addr", "127.0.0.1:1"},
+                                 {"burrow", type_.name},
+                                 {"covert", machine.zone},
+                                 {"strays", machine.spot},
+                                 {"scent", "running"},
+                                 {"ageS", control::to_seconds(now() - machine.rented)}});
   }
   return reply(200, Value::Map{{"dens", std::move(list)}, {"more", false}});
 }
@@ -230,8 +247,9 @@
       report = found->second.worker->report();
     }
     const Instant sent = now();
-    const auto answer = client->call({.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))},
-                                     net::Clock::now() + Millis(4000));
+    const auto answer =
+        client->call({.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))},
+                     net::Clock::now() + Millis(4000));
     next_report = now() + control::from_seconds(report_s_);
     if (!answer || answer->status != 200) {
       turn_to((node + 1) % nodes_.size());
--- a/tests/standins/http_world.h
+++ b/tests/standins/http_world.h
@@ -72,7 +72,7 @@
   double report_s_;
   double lease_s_;
   wire::MachineType type_;
-  std::recursive_mutex mutex_;   // workers call back while they are advanced
+  std::recursive_mutex mutex_;  // workers call back while they are advanced
   std::map<MachineId, Machine> machines_;
   std::map<std::string, std::vector<MachineId>> rentals_;
   std::map<JobId, std::pair<wire::JobSpec, double>> jobs_;
--- a/tests/standins/rules.cpp
+++ b/tests/standins/rules.cpp
@@ -10,7 +10,8 @@
   ++starts_;
   const wire::JobSpec& spec = specs_.at(task.job);
   for (const auto& [machine, unused] : on_[task]) {
-    if (machine != place.machine) breach("ran_twice: " + task.text() + " on " + machine.text() + " and " + place.machine.text());
+    if (machine != place.machine)
+      breach("ran_twice: " + task.text() + " on " + machine.text() + " and " + place.machine.text());
   }
   if ((place.spot && !spec.spot) || (!spec.zone.empty() && spec.zone != place.zone) ||
       (!spec.types.empty() && std::ranges::find(spec.types, place.type) == spec.types.end())) {
@@ -23,7 +24,8 @@
     for (const auto& [unused, at] : places) ++zones[at.zone];
   }
   if (spec.one_zone && zones.size() > 1) breach("wrong_place: " + task.text() + " in a second zone");
-  if (spec.spread && zones[place.zone] > (spec.tasks + 1) / 2) breach("wrong_place: " + task.text() + " in a full zone");
+  if (spec.spread && zones[place.zone] > (spec.tasks + 1) / 2)
+    breach("wrong_place: " + task.text() + " in a full zone");
   double cpus = 0;
   double gpus = 0;
   for (const auto& [other, places] : on_) {
@@ -33,7 +35,8 @@
     gpus += other_spec.gpus * static_cast<double>(places.size());
   }
   const config::Team* team = settings_.team(spec.team);
-  if (team != nullptr && ((team->cpus_max > 0 && cpus > team->cpus_max + 1e-6) || (team->gpus_max > 0 && gpus > team->gpus_max + 1e-6))) {
+  if (team != nullptr &&
+      ((team->cpus_max > 0 && cpus > team->cpus_max + 1e-6) || (team->gpus_max > 0 && gpus > team->gpus_max + 1e-6))) {
     breach("quota: team " + spec.team + " when " + task.text() + " started");
   }
   check(now);
--- a/tests/standins/rules.h
+++ b/tests/standins/rules.h
@@ -29,7 +29,7 @@
   void on_accepted(const JobId& job);
   void on_told(const JobId& job, wire::JobState state, Instant now);
   void on_told_unknown(const JobId& job);
-  void check(Instant now);   // to be called often
+  void check(Instant now);  // to be called often
 
   [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
   [[nodiscard]] std::size_t starts() const { return starts_; }
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -41,7 +41,8 @@
   return made;
 }
 
-bool Worker::answer(Term term, const std::vector<wire::Command>& commands, SessionNo session, Instant sent, Instant now) {
+bool Worker::answer(Term term, const std::vector<wire::Command>& commands, SessionNo session, Instant sent,
+                    Instant now) {
   if (session != session_ || term < term_ || term == Term{}) return false;
   term_ = term;
   lease_from_ = std::max(lease_from_, sent);
@@ -108,11 +109,13 @@
       } else if (elsewhere) {
         attempt.state = TaskState::ended;
         attempt.reason = EndReason::in_use;
-      } else if (cpus + spec->cpus > type_.cpus || gpus + spec->gpus > type_.gpus || ram_gb + spec->ram_gb > type_.ram_gb) {
+      } else if (cpus + spec->cpus > type_.cpus || gpus + spec->gpus > type_.gpus ||
+                 ram_gb + spec->ram_gb > type_.ram_gb) {
         attempt.state = TaskState::ended;
         attempt.reason = EndReason::no_room;
       } else {
-        attempt.ready = now + (images_.contains(spec->image) ? Millis(0) : from_seconds(spec->image_gb / type_.fetch_gb_per_s));
+        attempt.ready =
+            now + (images_.contains(spec->image) ? Millis(0) : from_seconds(spec->image_gb / type_.fetch_gb_per_s));
       }
       attempts_.emplace(key, attempt);
     }
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -34,10 +34,10 @@
 class Surroundings {
  public:
   virtual ~Surroundings() = default;
-  virtual const wire::JobSpec* job(const JobId& id) = 0;                  // what its user uploaded
-  virtual Millis run_left(const TaskKey& task) = 0;                       // after what was saved
+  virtual const wire::JobSpec* job(const JobId& id) = 0;  // what its user uploaded
+  virtual Millis run_left(const TaskKey& task) = 0;       // after what was saved
   virtual bool is_done(const TaskKey& task) = 0;
-  virtual void keep_progress(const TaskKey& task, Millis progress) = 0;   // saved outside the machine
+  virtual void keep_progress(const TaskKey& task, Millis progress) = 0;  // saved outside the machine
   virtual void on_started(const TaskKey& task, AttemptNo attempt, const MachineId& machine) = 0;
   virtual void on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& machine, bool done) = 0;
 };
@@ -54,7 +54,7 @@
   bool direct(Term term, SessionNo session, const std::vector<wire::Command>& commands, Instant now);
   // Lets time pass: images arrive, tasks end, the lease may expire. True when something changed.
   bool advance(Instant now);
-  void kill(Instant now);   // the machine is gone
+  void kill(Instant now);  // the machine is gone
 
   [[nodiscard]] const MachineId& id() const { return id_; }
   [[nodiscard]] std::map<std::pair<TaskKey, AttemptNo>, Attempt>& attempts() { return attempts_; }
@@ -63,9 +63,9 @@
 
   bool alive = true;
   bool hung = false;
-  bool faulty = false;                    // tasks fail on it
-  std::optional<Instant> taken_at;        // announced
-  std::function<bool(const JobId&, AttemptNo)> gang_ready;   // all tasks of the attempt have their image
+  bool faulty = false;                                      // tasks fail on it
+  std::optional<Instant> taken_at;                          // announced
+  std::function<bool(const JobId&, AttemptNo)> gang_ready;  // all tasks of the attempt have their image
 
  private:
   void execute(const std::vector<wire::Command>& commands, Instant now);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -12,15 +12,19 @@
 
 namespace {
 
-constexpr std::size_t kPlacesPerStep = 8;         // so that most passes take several steps
-constexpr Millis kStep{50};                 // of duties and workers
-constexpr Millis kLook{500};                // of followers at who leads, for want of a watch
+constexpr std::size_t kPlacesPerStep = 8;  // so that most passes take several steps
+constexpr Millis kStep{50};                // of duties and workers
+constexpr Millis kLook{500};               // of followers at who leads, for want of a watch
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
 
 }  // namespace
 
 World::World(config::Settings settings, std::vector<Supply> supplies, std::size_t nodes, unsigned seed)
-    : settings_(std::move(settings)), supplies_(std::move(supplies)), random_(seed), now_(Millis(1'000'000)), rules_(settings_) {
+    : settings_(std::move(settings)),
+      supplies_(std::move(supplies)),
+      random_(seed),
+      now_(Millis(1'000'000)),
+      rules_(settings_) {
   nodes_.resize(nodes);
   for (std::size_t node = 0; node < nodes; ++node) {
     config::Settings own = settings_;
@@ -71,7 +75,8 @@
 // ---- state ----
 
 template <typename Result>
-void World::call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what, std::function<void(const Result&)> then) {
+void World::call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what,
+                       std::function<void(const Result&)> then) {
   const std::uint64_t life = nodes_[node].life;
   const auto reply = [this, node, duty, life, then](const Result& result, Millis wait) {
     const auto hear = [this, node, duty, life, then, result] {
@@ -145,7 +150,8 @@
   self.next_peers = now_ + constants::kPeerEvery;
   for (std::size_t other = 0; other < nodes_.size(); ++other) {
     const Node& sibling = nodes_[other];
-    if (other == node || !sibling.alive || !sibling.engine->leading() || sibling.engine->term() <= self.engine->term()) continue;
+    if (other == node || !sibling.alive || !sibling.engine->leading() || sibling.engine->term() <= self.engine->term())
+      continue;
     self.leader_seen = NodeName("node-" + std::to_string(other));
     self.engine->hear_of(sibling.engine->term());
   }
@@ -244,7 +250,8 @@
   const Instant sent = now_;
   const Term term = self.engine->term();
   call_state<state::FollowResult>(
-      node, Duty::records, [from = self.follow_from](StateStore& store) { return store.follow(state::kLivePrefix, from); },
+      node, Duty::records,
+      [from = self.follow_from](StateStore& store) { return store.follow(state::kLivePrefix, from); },
       [this, node, sent, term](const state::FollowResult& news) {
         Node& me = nodes_[node];
         me.calling_follow = false;
@@ -307,7 +314,7 @@
                       .type = machine.type,
                       .zone = machine.zone,
                       .spot = machine.spot,
-                      .state = machine.failed ? wire::ListedState::failed
+                      .state = machine.failed   ? wire::ListedState::failed
                                : machine.worker ? wire::ListedState::running
                                                 : wire::ListedState::starting,
                       .age_s = control::to_seconds(then - machine.rented)});
@@ -376,7 +383,8 @@
       const auto supply = std::ranges::find(supplies_, request->type, [](const Supply& s) { return s.type.name; });
       const auto held = static_cast<std::size_t>(std::ranges::count_if(machines_, [&](const auto& entry) {
         const Rented& machine = entry.second;
-        return !machine.gone && machine.type == request->type && machine.zone == request->zone && machine.spot == request->spot;
+        return !machine.gone && machine.type == request->type && machine.zone == request->zone &&
+               machine.spot == request->spot;
       }));
       const std::size_t most = request->spot ? supply->spot_each_zone : supply->each_zone;
       const std::size_t left = most > held ? most - held : 0;
@@ -455,7 +463,7 @@
 void World::deliver_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node) {
   Rented& machine = machines_.at(id);
   if (machine.gone) return;
-  if (!nodes_[node].alive) {   // refused
+  if (!nodes_[node].alive) {  // refused
     machine.reporting = false;
     machine.node = (node + 1) % nodes_.size();
     machine.next_report = now_ + Millis(1000);
@@ -472,13 +480,14 @@
     return;
   }
   const auto commands = nodes_[node].engine->on_report(report, now_);
-  if (now_ - sent > constants::kReportAnswerLimit) return;   // the worker has given it up
+  if (now_ - sent > constants::kReportAnswerLimit) return;  // the worker has given it up
   answer_report(id, report, commands, sent, now_, node, nodes_[node].life);
 }
 
 // As src/node does: the answer waits a little for what the report has caused to become durable.
-void World::answer_report(const MachineId& id, const wire::Report& report, std::optional<std::vector<wire::Command>> commands,
-                          Instant sent, Instant came, std::size_t node, std::uint64_t life) {
+void World::answer_report(const MachineId& id, const wire::Report& report,
+                          std::optional<std::vector<wire::Command>> commands, Instant sent, Instant came,
+                          std::size_t node, std::uint64_t life) {
   if (!nodes_[node].alive || nodes_[node].life != life) return;
   control::Engine& engine = *nodes_[node].engine;
   if (commands && !engine.settled(report) && now_ - came < constants::kReportSettle) {
@@ -500,7 +509,7 @@
   after(delay(), [this, id, commands, term, session = report.session, sent, node] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
-    if (target.cut || target.worker->hung) return;   // lost, or too late when it goes on
+    if (target.cut || target.worker->hung) return;  // lost, or too late when it goes on
     target.reporting = false;
     const double jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
     target.next_report = now_ + from_seconds(settings_.report_s * jitter);
@@ -551,9 +560,7 @@
   submitted_at_.try_emplace(id, now_);
   rules_.on_submitted(submission.spec);
   const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
-  const auto retry = [this, submission] {
-    after(Millis(1000), [this, submission] { submit(submission); });
-  };
+  const auto retry = [this, submission] { after(Millis(1000), [this, submission] { submit(submission); }); };
   if (!nodes_[node].alive) return retry();
   // A node that ends answers nobody; the user tries again after 5 s.
   after(Millis(5000), [this, id, retry] {
@@ -561,7 +568,9 @@
   });
   call_state<state::TxnResult>(
       node, Duty::users,
-      [record = state::new_job(submission.spec, wall_ms())](StateStore& store) { return store.txn(state::accept_txn(record)); },
+      [record = state::new_job(submission.spec, wall_ms())](StateStore& store) {
+        return store.txn(state::accept_txn(record));
+      },
       [this, id](const state::TxnResult& result) {
         if (result.answer != Answer::ok && result.answer != Answer::conflict) return;
         if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
@@ -572,9 +581,7 @@
 void World::cancel(const JobId& id) {
   if (cancelled_.contains(id)) return;
   const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
-  const auto retry = [this, id] {
-    after(Millis(1000), [this, id] { cancel(id); });
-  };
+  const auto retry = [this, id] { after(Millis(1000), [this, id] { cancel(id); }); };
   if (!nodes_[node].alive) return retry();
   after(Millis(5000), [this, id] { cancel(id); });
   struct Seen {
@@ -584,7 +591,9 @@
   };
   call_state<Seen>(
       node, Duty::users,
-      [id](StateStore& store) { return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))}; },
+      [id](StateStore& store) {
+        return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))};
+      },
       [this, id, node](const Seen& seen) {
         if (seen.answer != Answer::ok) return;
         if (seen.over.answer == Answer::ok) {
@@ -594,9 +603,8 @@
         if (seen.live.answer != Answer::ok) return;
         call_state<state::TxnResult>(
             node, Duty::users,
-            [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](StateStore& store) {
-              return store.txn(txn);
-            },
+            [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](
+                StateStore& store) { return store.txn(txn); },
             [this, id](const state::TxnResult& result) {
               if (result.answer != Answer::ok) return;
               cancelled_.insert(id);
@@ -721,8 +729,9 @@
 }
 
 std::size_t World::machines_up() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      machines_, [](const auto& entry) { return !entry.second.gone && entry.second.worker && entry.second.worker->alive; }));
+  return static_cast<std::size_t>(std::ranges::count_if(machines_, [](const auto& entry) {
+    return !entry.second.gone && entry.second.worker && entry.second.worker->alive;
+  }));
 }
 
 std::vector<MachineId> World::machine_names() const {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -21,13 +21,13 @@
 
 struct Supply {
   wire::MachineType type;
-  std::size_t each_zone = 0;        // ordinary machines that a zone has
+  std::size_t each_zone = 0;  // ordinary machines that a zone has
   std::size_t spot_each_zone = 0;
 };
 
 struct Submission {
   wire::JobSpec spec;
-  double run_s = 0;                 // what its tasks really take
+  double run_s = 0;  // what its tasks really take
 };
 
 // A controller's duties, as far as each may come to its turn late.
@@ -83,7 +83,7 @@
  private:
   struct Node {
     std::unique_ptr<control::Engine> engine;
-    std::uint64_t life = 0;           // grows with each restart; what an earlier life asked is not answered
+    std::uint64_t life = 0;  // grows with each restart; what an earlier life asked is not answered
     bool alive = true;
     bool cut_from_state = false;
     bool state_holds = false;
@@ -100,16 +100,16 @@
     Instant next_peers;
   };
   struct Rented {
-    std::unique_ptr<Worker> worker;   // once it is up
+    std::unique_ptr<Worker> worker;  // once it is up
     std::string type;
     std::string zone;
     bool spot = false;
     Instant rented;
-    std::optional<Instant> gone;      // returned or taken
+    std::optional<Instant> gone;  // returned or taken
     bool failed = false;
     bool cut = false;
     bool holds = false;
-    std::size_t node = 0;             // that it reports to
+    std::size_t node = 0;  // that it reports to
     bool reporting = false;
     Instant next_report;
     bool changed = false;
@@ -122,7 +122,8 @@
   [[nodiscard]] Millis delay();
   // A call to the state service: its answer, late or never, reaches the node if that life of it still runs.
   template <typename Result>
-  void call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what, std::function<void(const Result&)> then);
+  void call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what,
+                  std::function<void(const Result&)> then);
   [[nodiscard]] bool late(std::size_t node, Duty duty) const;
   void peer_duty(std::size_t node);
   void duties(std::size_t node, std::uint64_t life);
@@ -133,8 +134,9 @@
   void cloud_duty(std::size_t node);
   void halt_duty(std::size_t node);
   void worker_step(const MachineId& id);
-  void answer_report(const MachineId& id, const wire::Report& report, std::optional<std::vector<wire::Command>> commands,
-                     Instant sent, Instant came, std::size_t node, std::uint64_t life);
+  void answer_report(const MachineId& id, const wire::Report& report,
+                     std::optional<std::vector<wire::Command>> commands, Instant sent, Instant came, std::size_t node,
+                     std::uint64_t life);
   void deliver_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node);
   [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -40,17 +40,22 @@
 TEST(DeployFile, WhatIsMissingOrWrongIsNamed) {
   EXPECT_EQ(error_of("\"host_name\": \"n-0\", ", ""), "deploy.json.host_name: is missing");
   EXPECT_EQ(error_of("\"lease_s\": 10.0, ", ""), "deploy.json.params.workers.lease_s: is missing");
-  EXPECT_EQ(error_of("\"cancel_s\": 40.0", "\"cancel_s\": 4.0"), "deploy.json.params.workers.cancel_s: must be above lease_s");
+  EXPECT_EQ(error_of("\"cancel_s\": 40.0", "\"cancel_s\": 4.0"),
+            "deploy.json.params.workers.cancel_s: must be above lease_s");
   EXPECT_NE(error_of("\"rps\": 250.0", "\"rps\": -1").find("params.state.rps"), std::string::npos);
   EXPECT_NE(error_of("\"rps\": 250.0", "\"rps\": \"x\"").find("params.state.rps: must be a number"), std::string::npos);
   EXPECT_NE(error_of("{\"name\": \"red\", ", "{").find("params.teams[0].name"), std::string::npos);
   EXPECT_NE(error_of("\"zone\": \"a\",", "").find("zone"), std::string::npos);
   EXPECT_NE(error_of("\"limits\": {", "\"limited\": {").find("params.limits: is missing"), std::string::npos);
   EXPECT_NE(error_of("\"cpu\": 0.08", "\"cpu\": 0").find("params.limits.cpu: must be at least"), std::string::npos);
-  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 8").find("params.limits.ram_mb: must be at least"), std::string::npos);
-  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": -56.0").find("params.limits.ram_mb: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 8").find("params.limits.ram_mb: must be at least"),
+            std::string::npos);
+  EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": -56.0").find("params.limits.ram_mb: must be at least"),
+            std::string::npos);
   EXPECT_NE(error_of("\"ram_mb\": 56.0, ", "").find("params.limits.ram_mb: is missing"), std::string::npos);
-  EXPECT_NE(error_of("\"max_connections\": 700", "\"max_connections\": 20").find("params.limits.max_connections: must be at least"), std::string::npos);
+  EXPECT_NE(error_of("\"max_connections\": 700", "\"max_connections\": 20")
+                .find("params.limits.max_connections: must be at least"),
+            std::string::npos);
   EXPECT_NE(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 1e999").find("deploy.json"), std::string::npos);
   EXPECT_EQ(error_of("\"ram_mb\": 56.0", "\"ram_mb\": 24"), "");
   EXPECT_NE(error_of("{", "").find("not JSON"), std::string::npos);
@@ -58,12 +63,15 @@
 
 TEST(OperatorSettings, AreValidated) {
   Settings settings = parse_settings(kDeploy, "deploy.json");
-  parse_operator_settings("<foxshunt><idle-return-s>90</idle-return-s><may-rent>false</may-rent></foxshunt>", "o.xml", settings);
+  parse_operator_settings("<foxshunt><idle-return-s>90</idle-return-s><may-rent>false</may-rent></foxshunt>", "o.xml",
+                          settings);
   EXPECT_EQ(settings.operators.idle_return_s, 90);
   EXPECT_FALSE(settings.operators.may_rent);
-  for (const char* bad : {"<foxshunt><idle-return-s>soon</idle-return-s></foxshunt>", "<foxshunt><idle-return-s>-1</idle-return-s></foxshunt>",
-                          "<foxshunt><may-rent>maybe</may-rent></foxshunt>", "<foxshunt><colour>red</colour></foxshunt>",
-                          "<other/>", "<foxshunt>", "", "<foxshunt><may-rent>true</may-rent><may-rent>true</may-rent></foxshunt>"}) {
+  for (const char* bad :
+       {"<foxshunt><idle-return-s>soon</idle-return-s></foxshunt>",
+        "<foxshunt><idle-return-s>-1</idle-return-s></foxshunt>", "<foxshunt><may-rent>maybe</may-rent></foxshunt>",
+        "<foxshunt><colour>red</colour></foxshunt>", "<other/>", "<foxshunt>", "",
+        "<foxshunt><may-rent>true</may-rent><may-rent>true</may-rent></foxshunt>"}) {
     EXPECT_THROW(parse_operator_settings(bad, "o.xml", settings), BadSettings) << bad;
   }
 }
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -95,13 +95,17 @@
     return true;
   }
 
-  static wire::TaskReport task(std::uint32_t index, TaskState state, EndReason reason = EndReason::none, std::uint64_t attempt = 1) {
+  static wire::TaskReport task(std::uint32_t index, TaskState state, EndReason reason = EndReason::none,
+                               std::uint64_t attempt = 1) {
     return {.task = {kJob, index}, .attempt = AttemptNo(attempt), .state = state, .reason = reason, .saved = false};
   }
   static bool has(const std::optional<std::vector<wire::Command>>& commands, CommandKind kind) {
-    return commands && std::ranges::any_of(*commands, [&](const wire::Command& command) { return command.kind == kind; });
+    return commands &&
+           std::ranges::any_of(*commands, [&](const wire::Command& command) { return command.kind == kind; });
+  }
+  [[nodiscard]] std::uint32_t placed() const {
+    return engine_.jobs().contains(kJob) ? engine_.jobs().at(kJob).runs_count : 0;
   }
-  [[nodiscard]] std::uint32_t placed() const { return engine_.jobs().contains(kJob) ? engine_.jobs().at(kJob).runs_count : 0; }
 
   Instant now_{Millis(1'000'000)};
   std::uint64_t revision_ = 10;
@@ -157,9 +161,10 @@
   engine_.plan_pass(now_);
   ASSERT_TRUE(write());
   (void)report(kFirst, 2, Term(7));
-  const std::vector<wire::TaskReport> tasks{task(0, TaskState::ended, EndReason::done), task(1, TaskState::running, EndReason::none, 2)};
+  const std::vector<wire::TaskReport> tasks{task(0, TaskState::ended, EndReason::done),
+                                            task(1, TaskState::running, EndReason::none, 2)};
   EXPECT_FALSE(has(report(kFirst, 3, Term(7), tasks), CommandKind::clear));
-  ASSERT_TRUE(write(state::Answer::none));   // it may have been written, or not
+  ASSERT_TRUE(write(state::Answer::none));  // it may have been written, or not
   EXPECT_FALSE(has(report(kFirst, 4, Term(7), tasks), CommandKind::clear));
   ASSERT_TRUE(write());
   EXPECT_TRUE(has(report(kFirst, 5, Term(7), tasks), CommandKind::clear));
@@ -189,7 +194,8 @@
   engine_.plan_pass(now_);
   ASSERT_TRUE(write());
   (void)report(kFirst, 2, Term(7));
-  (void)report(kFirst, 3, Term(7), {task(0, TaskState::ended, EndReason::error), task(1, TaskState::running, EndReason::none, 2)});
+  (void)report(kFirst, 3, Term(7),
+               {task(0, TaskState::ended, EndReason::error), task(1, TaskState::running, EndReason::none, 2)});
   EXPECT_EQ(engine_.machines().at(kFirst).state, MachineState::up);
   (void)report(kFirst, 4, Term(7), {task(1, TaskState::ended, EndReason::error, 2)});
   EXPECT_EQ(engine_.machines().at(kFirst).state, MachineState::draining);
@@ -216,9 +222,10 @@
 TEST_F(Leading, ASilentMachinesTasksCountAgainstTheLimit) {
   wire::JobSpec spec = job_of(20);
   lead({placed_on(kSecond, spec)});
-  for (const char* name : {"m-000001", "m-000003", "m-000004", "m-000005", "m-000006"}) (void)report(MachineId(name), 1, Term(7));
+  for (const char* name : {"m-000001", "m-000003", "m-000004", "m-000005", "m-000006"})
+    (void)report(MachineId(name), 1, Term(7));
   engine_.plan_pass(now_);
-  EXPECT_EQ(placed(), 16U);   // of 4 CPUs each, for a limit of 64
+  EXPECT_EQ(placed(), 16U);  // of 4 CPUs each, for a limit of 64
 }
 
 // Duties run late on a small machine: what is answered counts from the moment up to which all was known, and not
@@ -227,14 +234,14 @@
   lead();
   submit(job_of(1));
   ASSERT_TRUE(report(kFirst, 1, Term(7)));
-  now_ += Millis(4'100);   // nothing confirmed: the lease may have ended
+  now_ += Millis(4'100);  // nothing confirmed: the lease may have ended
   EXPECT_TRUE(engine_.may_answer(now_));
   EXPECT_FALSE(engine_.may_start(now_));
   EXPECT_TRUE(report(kFirst, 2, Term(7), {}, false));
   engine_.plan_pass(now_);
   EXPECT_EQ(placed(), 0U);
   EXPECT_FALSE(engine_.begin_write(now_));
-  now_ += Millis(24'000);   // 40 s for a cancellation, less a worker's lease of 10 s and a margin of 2 s
+  now_ += Millis(24'000);  // 40 s for a cancellation, less a worker's lease of 10 s and a margin of 2 s
   EXPECT_FALSE(engine_.may_answer(now_));
 }
 
@@ -243,16 +250,19 @@
   EXPECT_FALSE(engine_.explain(kJob, now_)) << "it does not lead";
   lead();
   EXPECT_FALSE(engine_.explain(kJob, now_)) << "it knows no such job";
-  submit(job_of(20));   // of 4 CPUs each; the team may have 64
-  EXPECT_EQ(engine_.explain(kJob, now_), "20 of 20 tasks wait; no machine that is up or boots has room for it; the settings forbid renting");
+  submit(job_of(20));  // of 4 CPUs each; the team may have 64
+  EXPECT_EQ(engine_.explain(kJob, now_),
+            "20 of 20 tasks wait; no machine that is up or boots has room for it; the settings forbid renting");
   (void)report(kFirst, 1, Term(7));
   engine_.plan_pass(now_);
   EXPECT_EQ(placed(), 4U);
-  EXPECT_EQ(engine_.explain(kJob, now_),
-            "16 of 20 tasks wait; the first is booked to start in 60 s, 16 of them later than a machine rented now would "
-            "let them; the settings forbid renting");
+  EXPECT_EQ(
+      engine_.explain(kJob, now_),
+      "16 of 20 tasks wait; the first is booked to start in 60 s, 16 of them later than a machine rented now would "
+      "let them; the settings forbid renting");
   now_ += Millis(60'000);
-  EXPECT_EQ(engine_.explain(kJob, now_), "16 of 20 tasks wait; nothing is started while the state service does not answer");
+  EXPECT_EQ(engine_.explain(kJob, now_),
+            "16 of 20 tasks wait; nothing is started while the state service does not answer");
 }
 
 TEST_F(Leading, CountsWhatIsNotWrittenYetAndSinceWhen) {
@@ -267,7 +277,7 @@
   EXPECT_EQ(census.machines_up, 1U);
   EXPECT_EQ(census.unwritten, 1U);
   EXPECT_EQ(census.unwritten_oldest, Millis(700));
-  ASSERT_TRUE(write(state::Answer::none));   // it may be written, or not
+  ASSERT_TRUE(write(state::Answer::none));  // it may be written, or not
   now_ += Millis(300);
   EXPECT_EQ(engine_.census(now_).unwritten_oldest, Millis(1000));
   ASSERT_TRUE(write());
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -39,7 +39,9 @@
 }
 
 TEST(Peers, BelievesALaterTermOnly) {
-  const std::vector<std::string> words{"nonsense", "", wire::encode(wire::Value::Map{{"term", "six"}}), word(9, ""), word(2, "node-1"), word(6, "node-1")};
+  const std::vector<std::string> words{
+      "nonsense",       "", wire::encode(wire::Value::Map{{"term", "six"}}), word(9, ""), word(2, "node-1"),
+      word(6, "node-1")};
   std::atomic<std::size_t> asked{0};
   net::HttpServer sibling({.host = "127.0.0.1", .port = 0}, {.connections = 4}, [&](const net::HttpRequest&) {
     return net::HttpResponse{.status = 200, .body = words[std::min(asked++, words.size() - 1)], .retry_after_s = {}};
--- a/tests/unit/plain_planner.cpp
+++ b/tests/unit/plain_planner.cpp
@@ -8,9 +8,7 @@
 namespace foxshunt::plan {
 namespace {
 
-Instant plus(Instant when, Millis duration) {
-  return when >= kForever - duration ? kForever : when + duration;
-}
+Instant plus(Instant when, Millis duration) { return when >= kForever - duration ? kForever : when + duration; }
 
 FreeSlots free_slots(const ResourceSet& set, const Amounts& amounts, Millis duration, Instant from, Instant to) {
   FreeSlots found{{from, to, std::numeric_limits<Items>::max()}};
@@ -36,7 +34,7 @@
 }
 
 FreeSlots PlainPlanner::fleet_slots(const Request& request, std::int64_t count, const ResourceSet& fleet,
-                               const ResourceSet& team) const {
+                                    const ResourceSet& team) const {
   const Amounts need = request.each.times(count);
   FreeSlots found{{request.from, kForever, std::numeric_limits<Items>::max()}};
   const auto limit_entry = limits_.find(request.team);
@@ -80,11 +78,12 @@
   struct Open {
     const Candidate* from;
     FreeSlots slots;
-    std::optional<ResourceSet> use;   // the machine's use with what this call placed
+    std::optional<ResourceSet> use;  // the machine's use with what this call placed
   };
   std::vector<Open> open;
   open.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) open.push_back({.from = &candidate, .slots = candidate.slots, .use = {}});
+  for (const Candidate& candidate : candidates)
+    open.push_back({.from = &candidate, .slots = candidate.slots, .use = {}});
   std::vector<Placing> placed;
   // What this call placed counts against the fleet, the team and the zones at once.
   ResourceSet fleet = fleet_;
@@ -145,8 +144,10 @@
   return placed;
 }
 
-std::vector<Placing> PlainPlanner::plan_together(const Request& request, const std::vector<Candidate>& candidates) const {
-  const FreeSlots free = fleet_slots(request, request.count, fleet_, teams_.contains(request.team) ? teams_.at(request.team) : ResourceSet{});
+std::vector<Placing> PlainPlanner::plan_together(const Request& request,
+                                                 const std::vector<Candidate>& candidates) const {
+  const FreeSlots free = fleet_slots(request, request.count, fleet_,
+                                     teams_.contains(request.team) ? teams_.at(request.team) : ResourceSet{});
   // Where a piece becomes free on some machine, or the fleet has room again, the gang may begin.
   std::set<Instant> starts;
   for (const Slot& slot : free) starts.insert(slot.start);
--- a/tests/unit/plain_planner.h
+++ b/tests/unit/plain_planner.h
@@ -28,7 +28,8 @@
   [[nodiscard]] FreeSlots fleet_slots(const Request& request, std::int64_t count, const ResourceSet& fleet,
                                       const ResourceSet& team) const;
   [[nodiscard]] std::vector<Placing> plan_apart(const Request& request, const std::vector<Candidate>& candidates) const;
-  [[nodiscard]] std::vector<Placing> plan_together(const Request& request, const std::vector<Candidate>& candidates) const;
+  [[nodiscard]] std::vector<Placing> plan_together(const Request& request,
+                                                   const std::vector<Candidate>& candidates) const;
 
   ResourceSet fleet_;
   std::map<MachineId, Node> machines_;
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -12,7 +12,8 @@
 Instant at(int s) { return Instant(std::chrono::seconds(s)); }
 
 PlanMachine machine(const std::string& id, double cpus, double gpus, const std::string& zone = "a", int ready_s = 0) {
-  return {.id = MachineId(id), .type = "t", .zone = zone, .capacity = Amounts::from(cpus, gpus, 64), .ready = at(ready_s)};
+  return {
+      .id = MachineId(id), .type = "t", .zone = zone, .capacity = Amounts::from(cpus, gpus, 64), .ready = at(ready_s)};
 }
 
 Request request(double cpus, std::uint32_t count, int duration_s) {
@@ -53,14 +54,18 @@
 TEST(Planner, GapBeforeABookingIsUsedOnlyIfTheEstimateFits) {
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0));
-  planner.book({.machine = MachineId("m-1"), .team = "blue", .amounts = Amounts::from(8, 0, 1), .start = at(20), .stop = at(50)});
+  planner.book({.machine = MachineId("m-1"),
+                .team = "blue",
+                .amounts = Amounts::from(8, 0, 1),
+                .start = at(20),
+                .stop = at(50)});
   EXPECT_EQ(plan(planner, request(8, 1, 20)).front().start, at(0));
   EXPECT_EQ(plan(planner, request(8, 1, 21)).front().start, at(50));
 }
 
 TEST(Planner, MachinesWithScarceResourcesRankLast) {
   Planner planner;
-  planner.set_machine(machine("m-1", 8, 4));   // all GPUs of the fleet: weight 1
+  planner.set_machine(machine("m-1", 8, 4));  // all GPUs of the fleet: weight 1
   planner.set_machine(machine("m-2", 8, 0));
   EXPECT_EQ(plan(planner, request(4, 1, 10)).front().machine, MachineId("m-2"));
 }
@@ -78,7 +83,8 @@
   Planner planner;
   planner.set_machine(machine("m-1", 16, 0));
   planner.set_team("red", {.cpus = 8000, .gpus = std::nullopt});
-  planner.book({.machine = MachineId("m-1"), .team = "red", .amounts = Amounts::from(4, 0, 1), .start = at(5), .stop = at(15)});
+  planner.book(
+      {.machine = MachineId("m-1"), .team = "red", .amounts = Amounts::from(4, 0, 1), .start = at(5), .stop = at(15)});
   const auto placings = plan(planner, request(4, 3, 10));
   ASSERT_EQ(total(placings), 3U);
   std::map<Instant, int> starts;
@@ -118,7 +124,8 @@
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0, "a"));
   planner.set_machine(machine("m-2", 8, 0, "b"));
-  planner.book({.machine = MachineId("m-2"), .team = "blue", .amounts = Amounts::from(8, 0, 1), .start = at(0), .stop = at(40)});
+  planner.book(
+      {.machine = MachineId("m-2"), .team = "blue", .amounts = Amounts::from(8, 0, 1), .start = at(0), .stop = at(40)});
   Request asked = request(4, 4, 10);
   asked.together = true;
   const auto placings = plan(planner, asked);
@@ -180,8 +187,9 @@
   const int count = pick(1, 14);
   for (int i = 0; i < count; ++i) {
     const bool gpus = pick(0, 2) == 0;
-    PlanMachine one = machine("m-" + std::to_string(10 + i), gpus ? 24 : 16, gpus ? 4 : 0, std::array{"b", "a", "c"}[static_cast<std::size_t>(pick(0, 2))],
-                              pick(0, 3) == 0 ? pick(1, 40) : 0);
+    PlanMachine one =
+        machine("m-" + std::to_string(10 + i), gpus ? 24 : 16, gpus ? 4 : 0,
+                std::array{"b", "a", "c"}[static_cast<std::size_t>(pick(0, 2))], pick(0, 3) == 0 ? pick(1, 40) : 0);
     if (pick(0, 5) == 0) one.until = at(pick(30, 200));
     if (pick(0, 7) == 0) one.priority = 1;
     machines.push_back(one);
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -34,7 +34,8 @@
 TEST(Records, FullestPartStaysUnderTheSmallestValueLimitOfABrief) {
   PartRecord part{.next = AttemptNo(100'000), .done = std::vector<bool>(constants::kTasksPerPart, true), .runs = {}};
   for (std::uint32_t index = 0; index < constants::kTasksPerPart; ++index) {
-    part.runs.push_back({.index = 99'999, .attempt = AttemptNo(100'000), .machine = MachineId("m-000231"), .session = SessionNo(12)});
+    part.runs.push_back(
+        {.index = 99'999, .attempt = AttemptNo(100'000), .machine = MachineId("m-000231"), .session = SessionNo(12)});
   }
   JobRecord job{.spec = spec(constants::kTasksPerPart), .submitted_wall_ms = 1'700'000'000'000, .whole = part};
   EXPECT_LT(wire::json_length(to_value(job)) + constants::kRecordSpareBytes, 8U * 1024);
@@ -44,7 +45,8 @@
   using wire::Value;
   EXPECT_THROW((void)part_from(Value::Map{{"next", 1}, {"done", "z"}, {"runs", Value::List{}}}, 4), wire::Malformed);
   EXPECT_THROW((void)part_from(Value::Map{{"next", 1}, {"done", "ff"}, {"runs", Value::List{}}}, 4), wire::Malformed);
-  EXPECT_THROW((void)part_from(Value::Map{{"next", 1}, {"done", ""}, {"runs", Value::List{Value::List{1}}}}, 4), wire::Malformed);
+  EXPECT_THROW((void)part_from(Value::Map{{"next", 1}, {"done", ""}, {"runs", Value::List{Value::List{1}}}}, 4),
+               wire::Malformed);
   EXPECT_THROW((void)over_from(JobId("j-000001"), Value::Map{{"end", "lost"}, {"done", 1}}), wire::Malformed);
 }
 
--- a/tests/unit/usage_vector_test.cpp
+++ b/tests/unit/usage_vector_test.cpp
@@ -16,12 +16,14 @@
 struct Naive {
   std::array<Items, kSpan> used{};
   void change(int start, int stop, Items items) {
-    for (int t = start; t < stop; ++t) used[static_cast<std::size_t>(t)] = std::max<Items>(0, used[static_cast<std::size_t>(t)] + items);
+    for (int t = start; t < stop; ++t)
+      used[static_cast<std::size_t>(t)] = std::max<Items>(0, used[static_cast<std::size_t>(t)] + items);
   }
 };
 
 void expect_same(const UsageVector& vector, const Naive& naive) {
-  for (int t = 0; t < kSpan; ++t) ASSERT_EQ(vector.used_at(at(t)), naive.used[static_cast<std::size_t>(t)]) << "at " << t;
+  for (int t = 0; t < kSpan; ++t)
+    ASSERT_EQ(vector.used_at(at(t)), naive.used[static_cast<std::size_t>(t)]) << "at " << t;
   for (std::size_t i = 0; i < vector.slots().size(); ++i) {
     const Slot& slot = vector.slots()[i];
     ASSERT_LT(slot.start, slot.stop);
@@ -97,7 +99,8 @@
     const FreeSlots both = intersect(vector.free_slots(need, Millis(1), at(0), at(kSpan)), other, Millis(1));
     std::array<bool, kSpan> in_both{};
     for (const Slot& slot : both) {
-      for (int t = static_cast<int>(slot.start.time_since_epoch().count()); at(t) < slot.stop; ++t) in_both[static_cast<std::size_t>(t)] = true;
+      for (int t = static_cast<int>(slot.start.time_since_epoch().count()); at(t) < slot.stop; ++t)
+        in_both[static_cast<std::size_t>(t)] = true;
     }
     for (std::size_t t = 0; t < kSpan; ++t) {
       ASSERT_EQ(in_both[t], 20 - naive.used[t] >= need && 20 - naive_team.used[t] >= need);
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 Value::Map job_map() {
-  return {{"id", "j-000412"},  {"breed", "train"},   {"pack", "vision"}, {"gait", "ensemble"}, {"rank", "high"},
-          {"cubs", 16},        {"cpus", 8.0},        {"cards", 1.0},     {"ramGb", 64.0},      {"pelt", "img-07"},
-          {"pullGb", 6.2},     {"burrows", Value::List{"g8"}}, {"covert", nullptr}, {"samePlace", true},
-          {"spread", false},   {"strays", true},     {"runS", 240.0},    {"cacheS", 30.0},     {"buryS", 4.0},
-          {"duskS", 900.0}};
+  return {{"id", "j-000412"},  {"breed", "train"},  {"pack", "vision"}, {"gait", "ensemble"},
+          {"rank", "high"},    {"cubs", 16},        {"cpus", 8.0},      {"cards", 1.0},
+          {"ramGb", 64.0},     {"pelt", "img-07"},  {"pullGb", 6.2},    {"burrows", Value::List{"g8"}},
+          {"covert", nullptr}, {"samePlace", true}, {"spread", false},  {"strays", true},
+          {"runS", 240.0},     {"cacheS", 30.0},    {"buryS", 4.0},     {"duskS", 900.0}};
 }
 
 Value with(std::string_view key, Value item) {
@@ -41,22 +41,25 @@
 
 TEST(Cbor, AbsurdInputCostsNothing) {
   using namespace std::string_literals;
-  EXPECT_THROW((void)decode("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);   // a list of 2^63 items
-  EXPECT_THROW((void)decode("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);   // a map of as many
-  EXPECT_THROW((void)decode("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);   // a text of as many
-  EXPECT_THROW((void)decode(std::string(60'000, '\x81')), Malformed);               // nested 60,000 deep
+  EXPECT_THROW((void)decode("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);  // a list of 2^63 items
+  EXPECT_THROW((void)decode("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);  // a map of as many
+  EXPECT_THROW((void)decode("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff"s), Malformed);  // a text of as many
+  EXPECT_THROW((void)decode(std::string(60'000, '\x81')), Malformed);              // nested 60,000 deep
   EXPECT_THROW((void)decode(std::string(60'000, '\x9f')), Malformed);
-  EXPECT_THROW((void)decode("\x41x"s), Malformed);                                  // bytes
-  EXPECT_THROW((void)decode("\xc0\x61x"s), Malformed);                              // a tag
-  EXPECT_THROW((void)decode("\xa1\x01\x02"s), Malformed);                           // a key that is no text
-  EXPECT_THROW((void)decode("\xa2\x61x\x01\x61x\x02"s), Malformed);                 // a key twice
+  EXPECT_THROW((void)decode("\x41x"s), Malformed);                   // bytes
+  EXPECT_THROW((void)decode("\xc0\x61x"s), Malformed);               // a tag
+  EXPECT_THROW((void)decode("\xa1\x01\x02"s), Malformed);            // a key that is no text
+  EXPECT_THROW((void)decode("\xa2\x61x\x01\x61x\x02"s), Malformed);  // a key twice
   EXPECT_THROW((void)decode("\xff"s), Malformed);
   EXPECT_THROW((void)decode("\xa1\x80\x01"s), Malformed);
 }
 
 TEST(Cbor, IndefiniteItems) {
   using namespace std::string_literals;
-  const Value value = decode("\xbf\x61x\x9f\x01\x02\xff\x61y\x7f\x61" "a\x61" "b\xff\xff"s);
+  const Value value = decode(
+      "\xbf\x61x\x9f\x01\x02\xff\x61y\x7f\x61"
+      "a\x61"
+      "b\xff\xff"s);
   EXPECT_EQ(value.list("x").size(), 2U);
   EXPECT_EQ(value.text("y"), "ab");
 }
@@ -112,8 +115,15 @@
 
 TEST(Report, RoundTrip) {
   const Value body = Value::Map{
-      {"den", "m-000231"}, {"addr", "10.1.0.232:9000"}, {"burrow", "g8"}, {"covert", "a"}, {"strays", true},
-      {"prowl", 2}, {"pawmark", 88}, {"alpha", 41}, {"barkS", nullptr},
+      {"den", "m-000231"},
+      {"addr", "10.1.0.232:9000"},
+      {"burrow", "g8"},
+      {"covert", "a"},
+      {"strays", true},
+      {"prowl", 2},
+      {"pawmark", 88},
+      {"alpha", 41},
+      {"barkS", nullptr},
       {"cubs", Value::List{Value::Map{{"cub", "j-000412/3"}, {"try", 2}, {"scent", "running"}},
                            Value::Map{{"cub", "j-000398/0"}, {"try", 1}, {"scent", "ended"}, {"trail", "done"}}}}};
   const Report report = report_from(body);
@@ -128,13 +138,15 @@
 
 TEST(TaskKey, Forms) {
   EXPECT_TRUE(task_key_from("j-000412/99999"));
-  for (const char* bad : {"j-000412", "j-000412/", "j-000412/-1", "j-000412/1x", "x-000412/1", "j-000412/99999999999"}) {
+  for (const char* bad :
+       {"j-000412", "j-000412/", "j-000412/-1", "j-000412/1x", "x-000412/1", "j-000412/99999999999"}) {
     EXPECT_FALSE(task_key_from(bad)) << bad;
   }
 }
 
 TEST(Size, JsonLengthIsNoLessThanJson) {
-  EXPECT_GE(json_length(Value::Map{{"a", "b"}, {"c", Value::List{1, 22, nullptr}}}), std::string(R"({"a":"b","c":[1,22,null]})").size());
+  EXPECT_GE(json_length(Value::Map{{"a", "b"}, {"c", Value::List{1, 22, nullptr}}}),
+            std::string(R"({"a":"b","c":[1,22,null]})").size());
 }
 
 }  // namespace
--- a/tests/unit/work_test.cpp
+++ b/tests/unit/work_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kMachines = 260;
-constexpr std::size_t kQueue = 40;   // gangs, and as many arrays
+constexpr std::size_t kQueue = 40;  // gangs, and as many arrays
 
 class Work : public testing::Test {
  protected:
@@ -49,7 +49,7 @@
     ended = fleet.engine().plan_some(fleet.now(), kMost);
     EXPECT_TRUE(ended || fleet.engine().plan_wanted());
     const std::uint64_t now_seen = fleet.engine().counters().places_seen;
-    EXPECT_LT(now_seen - seen, kMost + kMachines);   // the last job began before the bound
+    EXPECT_LT(now_seen - seen, kMost + kMachines);  // the last job began before the bound
     seen = now_seen;
   }
   EXPECT_GT(portions, 5U);
@@ -62,8 +62,8 @@
   BusyFleet apart(kMachines, kQueue, kQueue);
   for (int round = 0; round < 5; ++round) {
     whole.pass();
-    while (!apart.engine().plan_some(apart.now(), 1)) {}
-    apart.pass();   // nothing has happened: the same once more, and what it placed becomes durable
+    for (bool ended = false; !ended;) ended = apart.engine().plan_some(apart.now(), 1);
+    apart.pass();  // nothing has happened: the same once more, and what it placed becomes durable
     whole.pass();
     ASSERT_EQ(whole.engine().jobs().size(), apart.engine().jobs().size());
     for (const auto& [id, job] : whole.engine().jobs()) {
@@ -94,7 +94,8 @@
   fleet.engine().plan_pass(fleet.now());
   const auto batch = fleet.engine().begin_write(fleet.now());
   ASSERT_TRUE(batch);
-  fleet.engine().end_write(*batch, {.answer = state::Answer::ok, .revision = Revision(100'000), .failed = {}}, fleet.now());
+  fleet.engine().end_write(*batch, {.answer = state::Answer::ok, .revision = Revision(100'000), .failed = {}},
+                           fleet.now());
   EXPECT_FALSE(fleet.engine().plan_wanted());
 }
 
@@ -110,7 +111,7 @@
   ASSERT_GT(report.tasks.size(), 1U);
   const std::uint64_t before = allocations();
   const auto commands = fleet.engine().on_report(report, fleet.now());
-  EXPECT_LE(allocations() - before, 2 * report.tasks.size());   // a set of the tasks that it names, and their ids
+  EXPECT_LE(allocations() - before, 2 * report.tasks.size());  // a set of the tasks that it names, and their ids
   ASSERT_TRUE(commands);
   EXPECT_TRUE(commands->empty());
   EXPECT_FALSE(fleet.engine().plan_wanted());
