A test for the check of a team's limit before a start

The planner hid it until passes were made in portions: a pass may now outlive the booking of a run that overruns its estimate, and plans as if the run had ended. Without the check the team's limit is broken; the test fails then.

--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -245,6 +245,31 @@
   EXPECT_FALSE(engine_.may_answer(now_));
 }
 
+// Invariant 7: a team's limit counts what is placed, whatever the plan says. A pass in portions may outlive the booking
+// of a run that takes longer than estimated; the plan then takes what it uses for free.
+TEST_F(Leading, KeepsTheTeamsLimitWhenAPassOutlivesABooking) {
+  lead();
+  submit(job_of(16));  // of 4 CPUs each: all that the team may have
+  const std::vector<MachineId> machines{kFirst, kSecond, MachineId("m-000003"), MachineId("m-000004")};
+  for (const MachineId& machine : machines) (void)report(machine, 1, Term(7));
+  engine_.plan_pass(now_);
+  ASSERT_EQ(placed(), 16U);
+  now_ += Millis(59'000);  // of the 60 s for which they are booked
+  (void)report(MachineId("m-000005"), 1, Term(7));
+  wire::JobSpec next = job_of(1);
+  next.id = JobId("j-000002");
+  submit(next);
+  wire::JobSpec last = job_of(1);
+  last.id = JobId("j-000003");
+  submit(last);
+  ASSERT_FALSE(engine_.plan_some(now_, 1));
+  now_ += Millis(2'000);
+  (void)report(MachineId("m-000005"), 2, Term(7));
+  ASSERT_TRUE(engine_.plan_some(now_, 1));
+  EXPECT_EQ(engine_.jobs().at(next.id).runs_count, 0U);
+  EXPECT_EQ(engine_.jobs().at(last.id).runs_count, 0U);
+}
+
 // What operators are told.
 TEST_F(Leading, ExplainsWhyAJobWaits) {
   EXPECT_FALSE(engine_.explain(kJob, now_)) << "it does not lead";
