--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 
 #include "control/times.h"
@@ -66,9 +67,10 @@
 
 net::HttpResponse counters_answer(Context& context, const net::HttpServer& server) {
   Tallies& tallies = context.tallies;
+  const net::Clock::duration up = net::Clock::now() - context.began;
   wire::Value::Map body{
       {"node", context.settings.name.text()},
-      {"up_s", std::chrono::duration_cast<RealSeconds>(net::Clock::now() - context.began).count()},
+      {"up_s", std::chrono::duration_cast<RealSeconds>(up).count()},
       {"processor_s", processor_s()},
       {"processor_allowed", context.settings.cpu_share},
       {"resident_mb", resident_mb()},
@@ -76,7 +78,8 @@
       {"connections", server.open_connections()},
       {"connections_most", server.max_connections()},
       {"connections_refused", server.refused_connections()},
-      {"state_silent_ms", count_ms(std::chrono::ceil<std::chrono::milliseconds>(context.state_silent_for()))},
+      {"state_silent_ms",
+       count_ms(std::chrono::ceil<std::chrono::milliseconds>(std::min(context.state_silent_for(), up)))},
   };
   for (const auto& [kind, name] :
        {std::pair{Tallies::Kind::report, "reports"}, std::pair{Tallies::Kind::user, "users_requests"}}) {
--- a/tests/smoke/processes.cpp
+++ b/tests/smoke/processes.cpp
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-Cluster::Cluster(std::size_t nodes) : pids_(nodes, 0) {
+Cluster::Cluster(std::size_t nodes, bool outside) : pids_(nodes, 0) {
   std::string pattern = (std::filesystem::temp_directory_path() / "foxshunt-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
   std::vector<net::Address> peers;
@@ -50,6 +50,8 @@
     ports_.push_back(hold_port());
     peers.push_back(net::local_address(ports_.back()));
   }
+  ports_.push_back(hold_port());
+  const std::string nobody = net::local_address(ports_.back()).text();
   cloud_ = std::make_unique<standins::HttpCloud>(addresses_, 0.5, 5);
   for (std::size_t node = 0; node < nodes; ++node) {
     json siblings = json::array();
@@ -64,7 +66,9 @@
         {"bind", addresses_[node].text()},
         {"peer_listen", peers[node].text()},
         {"siblings", siblings},
-        {"outside", {{"cloud", cloud_->address().text()}, {"state", state_.address().text()}}},
+        {"outside",
+         {{"cloud", outside ? cloud_->address().text() : nobody},
+          {"state", outside ? state_.address().text() : nobody}}},
         {"params",
          {{"nodes", nodes},
           {"zones", {"a"}},
--- a/tests/smoke/processes.h
+++ b/tests/smoke/processes.h
@@ -13,7 +13,8 @@
 
 class Cluster {
  public:
-  explicit Cluster(std::size_t nodes);
+  // Without `outside`, nobody listens where the cloud and the state service should be.
+  explicit Cluster(std::size_t nodes, bool outside = true);
   ~Cluster();
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
--- a/tests/smoke/smoke_test.cpp
+++ b/tests/smoke/smoke_test.cpp
@@ -122,6 +122,21 @@
   }
 }
 
+// A node that has never heard of the state service says so, and tells users to come back.
+TEST(Smoke, CountersWithoutAnyOtherService) {
+  Cluster cluster(1, false);
+  cluster.start(0);
+  Ran ran;
+  while (ran.code != 0) ran = run("counters " + to(cluster, 0));
+  const auto at = ran.out.find("state_silent_ms ");
+  ASSERT_NE(at, std::string::npos) << ran.out;
+  const long silent_ms = std::stol(ran.out.substr(at + 16));
+  const long up_ms = static_cast<long>(std::stod(ran.out.substr(ran.out.find("up_s ") + 5)) * 1000) + 1;
+  EXPECT_LE(silent_ms, up_ms);
+  EXPECT_NE(ran.out.find("leads no"), std::string::npos);
+  EXPECT_EQ(post(cluster.address(0), "/api/jobs", wire::encode(wire::to_value(job("j-000001", 1)))).status, 503);
+}
+
 TEST(Smoke, BadInput) {
   Cluster cluster(1);
   cluster.start(0);
