Siblings relay reports of workers that can't reach the leader; one that hears none gives way

Cause: a leader that loses only the workers keeps its lease in the state service, and its siblings send the workers back to it until their leases end; the same for zones that can't reach each other.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -54,6 +54,8 @@
 inline constexpr milliseconds kLeaderLease = 4s;      // shorter than a restart, longer than a stutter
 inline constexpr milliseconds kLeaderRenew = 1s;      // three renewals may fail before the lease ends
 inline constexpr milliseconds kLeaderWatchHold = 2s;  // its answer also shows that the state is in reach
+inline constexpr milliseconds kGiveWay = 3s;          // for siblings that hear workers to take the lead; they watch it
+inline constexpr std::size_t kUnheardLeast = 3;       // fewer machines may well fall silent together
 inline constexpr milliseconds kForGood = 1h;          // a wait that only a signal ends
 inline constexpr milliseconds kFenceMargin = 2s;      // delay of answers under way, timers that fire late
 
@@ -61,7 +63,15 @@
 inline constexpr milliseconds kPeerEvery = 1s;         // as often as a lease is renewed
 inline constexpr milliseconds kPeerSilence = 3s;       // renewals were missed; a successor may lead a second later
 inline constexpr milliseconds kPeerCallLimit = 500ms;  // siblings are one hop away
-inline constexpr int kPeerConnectionsMost = 16;        // a few siblings ask, one connection each
+inline constexpr int kPeerConnectionsMost = 64;        // a few siblings ask, and relay over `kRelayClients` each
+inline constexpr std::size_t kRelayClients = 24;       // reports under way to a leader; an answer may settle for 600 ms
+inline constexpr milliseconds kRelayConnectLimit = 500ms;  // siblings are one hop away
+inline constexpr milliseconds kRelayLimit = 2500ms;        // the worker gives up after 4 s, and then tries other nodes
+inline constexpr milliseconds kRelayPause = 1s;            // a sibling that did not answer is not asked for so long
+inline constexpr milliseconds kRelayBack = 30s;            // a worker that was sent to the leader and is back this soon
+inline constexpr milliseconds kRelayFor = 60s;             // then the worker tries the leader itself; trying costs 5 s
+inline constexpr milliseconds kRelayWithin = 2s;   // after a time-out, until another node has passed the report on
+inline constexpr std::size_t kRelayedMost = 4096;  // machines remembered, many times a fleet
 
 // ---- control ----
 inline constexpr milliseconds kShowEvery = 2s;            // counts shown of a job in parts lag by this at most
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -146,7 +146,8 @@
   found.cloud_list_lag_s = cloud.amount_or("list_lag_s", 0);
   const Reader limits = params.inner("limits");
   found.cpu_share = limits.amount("cpu", 0.0001);
-  found.ram_mb = limits.amount("ram_mb", constants::kProcessMb + 1);
+  found.ram_mb =
+      limits.amount("ram_mb", constants::kProcessMb + constants::kPeerConnectionsMost * constants::kConnectionMb + 1);
   found.max_connections = static_cast<int>(limits.amount("max_connections", constants::kConnectionReserve + 1));
   found.skew_ms = params.amount("skew_ms");
   return found;
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -169,6 +169,8 @@
   void lead(const Takeover& takeover, Instant now);
   void resign(const std::string& why);
   [[nodiscard]] bool leading() const { return leading_; }
+  // Whether it left the lead to others so recently that they go first.
+  [[nodiscard]] bool gives_way(Instant now) const { return now < gives_way_until_; }
   [[nodiscard]] Term term() const { return term_; }
   [[nodiscard]] Revision term_mark() const { return term_mark_; }
   // Word of a term from a sibling: a higher one ends this lead.
@@ -209,7 +211,7 @@
   void on_returned(const std::vector<MachineId>& machines, Instant now);
 
   // ---- time ----
-  // Housekeeping: expiries, overdue allocations, idle machines.
+  // Housekeeping: expiries, overdue allocations, idle machines; ends a lead that no worker reaches.
   void tick(Instant now);
   // Plans what is pending and places what may start now, a portion of it: events are taken between portions. At least
   // one job is planned, and no more once this many places were looked at. True when the pass has ended.
@@ -266,6 +268,7 @@
   void learn_running(Job& job, Machine& machine, Run& run, std::uint32_t index, wire::TaskState state, Instant now);
   [[nodiscard]] double save_grace(const Job& job) const;
   // machines
+  [[nodiscard]] bool unheard(Instant now) const;
   Machine& know_machine(const MachineId& id, Instant now);
   [[nodiscard]] const wire::MachineType* type(const std::string& name) const;
   void refresh_plan_machine(Machine& machine);
@@ -323,6 +326,7 @@
   Instant lease_confirmed_;
   Instant read_confirmed_;
   Instant others_until_;
+  Instant gives_way_until_;
   std::map<JobId, Job> jobs_;
   std::map<MachineId, Machine> machines_;
   std::set<MachineId> gone_machines_;  // returned or dead: an old list may still show them
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -230,8 +230,27 @@
   }
 }
 
+// No worker reaches this node, and no sibling passes reports on: their leases end soon, whoever leads. Another node may
+// hear them. Only while the state service answers, without which nobody could take the lead.
+bool Engine::unheard(Instant now) const {
+  const Millis silence =
+      constants::kReportAnswerLimit + constants::kRelayWithin + from_seconds(settings_.report_s * 1.25);
+  std::size_t silent = 0;
+  for (const auto& [unused, machine] : machines_) {
+    if (!machine.reported || machine.expired) continue;
+    if (now - machine.last_report <= silence) return false;
+    ++silent;
+  }
+  return silent >= constants::kUnheardLeast && settings_.nodes > 1 && may_start(now);
+}
+
 void Engine::tick(Instant now) {
   if (!leading_) return;
+  if (unheard(now)) {
+    resign("no worker reaches it");
+    gives_way_until_ = now + constants::kGiveWay;
+    return;
+  }
   planner_.forget_before(now);
   // What waits for the end of a pause, its own or the cloud's, is not woken by any event.
   if (now - planned_ >= constants::kReplanEvery && std::ranges::any_of(jobs_, [](const auto& entry) {
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -50,6 +50,7 @@
   DutyMutex engine_mutex;                    // never held across I/O
   std::condition_variable_any engine_moved;  // with engine_mutex: a write or a planning pass has ended
   control::Engine engine;
+  Signal lead_signal;  // the lead may be over
   Signal plan_signal;
   Signal write_signal;
   Signal cloud_signal;
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -28,6 +28,7 @@
     std::atomic<std::uint64_t> bad{0};      // other 4xx, but not 421, which sends a worker to the leader
   };
   [[nodiscard]] const Requests& of(Kind kind) const { return requests_[static_cast<std::size_t>(kind)]; }
+  std::atomic<std::uint64_t> relayed{0};  // reports that were passed on to the leader
   [[nodiscard]] std::chrono::milliseconds slowest(Kind kind);
   [[nodiscard]] std::chrono::milliseconds longest_pass();
 
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -44,33 +44,10 @@
   return std::nullopt;
 }
 
-class Front::Loan {
- public:
-  explicit Loan(Front& front) : front_(front) {
-    const std::lock_guard lock(front_.clients_mutex_);
-    if (!front_.idle_.empty()) {
-      client_ = std::move(front_.idle_.back());
-      front_.idle_.pop_back();
-    } else if (front_.lent_ < constants::kFrontClients) {
-      client_ =
-          std::make_unique<state::Client>(front_.context_.state_address, front_.context_.budget, state::Urgency::user);
-    }
-    if (client_) ++front_.lent_;
-  }
-  ~Loan() {
-    if (!client_) return;
-    const std::lock_guard lock(front_.clients_mutex_);
-    --front_.lent_;
-    front_.idle_.push_back(std::move(client_));
-  }
-  Loan(const Loan&) = delete;
-  Loan& operator=(const Loan&) = delete;
-  [[nodiscard]] state::Client* get() const { return client_.get(); }
-
- private:
-  Front& front_;
-  std::unique_ptr<state::Client> client_;
-};
+Front::Front(Context& context)
+    : context_(context), clients_(constants::kFrontClients, [&context] {
+        return std::make_unique<state::Client>(context.state_address, context.budget, state::Urgency::user);
+      }) {}
 
 void Front::remember(const wire::JobStatus& status) {
   const std::lock_guard lock(terminal_mutex_);
@@ -137,7 +114,7 @@
   const auto id = wire::peek_job_id(value);
   if (!id) return plain_error(400, "id: must be of the form j-000412");
   if (const auto status = remembered(*id)) return status_answer(200, *status);
-  const Loan loan(*this);
+  const Clients::Loan loan(clients_);
   if (loan.get() == nullptr) return come_back("too many requests under way");
   state::Client& client = *loan.get();
 
@@ -176,7 +153,7 @@
   if (!wire::is_job_id(id_text)) return plain_error(404, "no such job");
   const JobId id(id_text);
   if (const auto status = remembered(id)) return status_answer(200, *status);
-  const Loan loan(*this);
+  const Clients::Loan loan(clients_);
   if (loan.get() == nullptr) return come_back("too many requests under way");
   return known_or(*loan.get(), id, net::Clock::now() + constants::kFrontCallLimit, plain_error(404, "no such job"));
 }
@@ -185,7 +162,7 @@
   if (!wire::is_job_id(id_text)) return plain_error(404, "no such job");
   const JobId id(id_text);
   const net::Deadline until = net::Clock::now() + constants::kFrontCallLimit;
-  const Loan loan(*this);
+  const Clients::Loan loan(clients_);
   if (loan.get() == nullptr) return come_back("too many requests under way");
   state::Client& client = *loan.get();
   for (int tries = 0; tries < constants::kConflictsMost; ++tries) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -8,13 +8,14 @@
 
 #include "net/http.h"
 #include "node/context.h"
+#include "node/pool.h"
 #include "state/client.h"
 
 namespace foxshunt::node {
 
 class Front {
  public:
-  explicit Front(Context& context) : context_(context) {}
+  explicit Front(Context& context);
 
   [[nodiscard]] net::HttpResponse submit(const std::string& body);
   [[nodiscard]] net::HttpResponse status(const std::string& id_text);
@@ -29,8 +30,8 @@
     state::Entry live;
     state::JobRecord record;
   };
-  // A state client for one request; they are few, so that users can't take all sockets.
-  class Loan;
+  // State clients, each for one request; they are few, so that users can't take all sockets.
+  using Clients = Pool<state::Client>;
 
   Look look(state::Client& client, const JobId& job, net::Deadline until);
   net::HttpResponse known_or(state::Client& client, const JobId& job, net::Deadline until, net::HttpResponse otherwise);
@@ -38,9 +39,7 @@
   [[nodiscard]] std::optional<wire::JobStatus> remembered(const JobId& job);
 
   Context& context_;
-  std::mutex clients_mutex_;
-  std::vector<std::unique_ptr<state::Client>> idle_;
-  std::size_t lent_ = 0;
+  Clients clients_;
   std::mutex terminal_mutex_;
   std::unordered_map<JobId, wire::JobStatus> terminal_;
 };
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -52,6 +52,10 @@
         continue;
       }
       context_.learn_lead({}, view->record.term);
+      if (gives_way()) {
+        pause(stop, constants::kStateRetryPause);
+        continue;
+      }
       if (take(*view)) hold(stop);
     } catch (const wire::Malformed& error) {
       spdlog::error("leadership records cannot be read: {}", error.what());
@@ -62,6 +66,11 @@
   if (lease_.number != 0) (void)client_.revoke(lease_, call_limit());
 }
 
+bool LeaderDuty::gives_way() {
+  const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
+  return context_.engine.gives_way(now());
+}
+
 // A follower that serves no users hears of the state service by this watch alone. When it was held for longer than
 // silence is taken for trouble, /up failed for some seconds of every ten, and the balancer passed the node over.
 static_assert(constants::kLeaderWatchHold < constants::kPeerSilence &&
@@ -160,7 +169,7 @@
       break;
     }
     // No confirmation may be an outage, in which leases don't end: the engine's fence bounds how long.
-    pause(stop, answer == Answer::ok ? constants::kLeaderRenew : constants::kStateRetryPause);
+    context_.lead_signal.wait(stop, answer == Answer::ok ? constants::kLeaderRenew : constants::kStateRetryPause);
   }
   {
     const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
@@ -309,6 +318,7 @@
       const std::lock_guard lock(context_.engine_mutex.of(Duty::planning));
       context_.engine.tick(now());
       wanted = context_.engine.plan_wanted();
+      if (!context_.engine.leading()) context_.lead_signal.raise();
     }
     // Reports, records and the lease take their turn between portions.
     const auto began = net::Clock::now();
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -21,6 +21,7 @@
   bool take(const state::LeadView& view);
   bool load(Revision term_mark, Term term, std::int64_t others_until_wall_ms);
   void hold(const std::stop_token& stop);
+  bool gives_way();
 
   Context& context_;
   state::Client client_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,6 +12,7 @@
 #include "node/front.h"
 #include "node/leadership.h"
 #include "node/peers.h"
+#include "node/relay.h"
 
 namespace foxshunt::node {
 
@@ -30,6 +31,7 @@
         cloud_(context_),
         halt_(context_),
         peers_(context_),
+        relay_(context_),
         server_(address_of(settings.bind, "bind"), limits_of(settings),
                 [this](const HttpRequest& request) { return handle(request); }) {
     start(leader_);
@@ -42,7 +44,7 @@
     if (!settings.peer_listen.empty()) {
       peer_server_.emplace(address_of(settings.peer_listen, "peer_listen"),
                            net::ServerLimits{.connections = constants::kPeerConnectionsMost},
-                           [this](const HttpRequest& request) { return tell_lead(context_, request); });
+                           [this](const HttpRequest& request) { return handle_sibling(request); });
     }
     started_ = true;
     spdlog::info("{} serves at {}", settings.name.text(), server_.address().text());
@@ -54,7 +56,8 @@
   // As many as sockets and memory allow; whoever comes beyond that is told to come back. Workers and the balancer's
   // probes keep their share when users flood.
   static net::ServerLimits limits_of(const config::Settings& settings) {
-    const auto fit = static_cast<int>((settings.ram_mb - constants::kProcessMb) / constants::kConnectionMb);
+    const auto fit = static_cast<int>((settings.ram_mb - constants::kProcessMb) / constants::kConnectionMb) -
+                     constants::kPeerConnectionsMost;
     const int most = std::max(1, std::min(settings.max_connections - constants::kConnectionReserve, fit));
     return {.connections = most,
             .reserved_paths = {"/checkin", "/up"},
@@ -86,7 +89,7 @@
     static constexpr std::string_view kJobs = "/api/jobs";
     static constexpr std::string_view kPlan = "/plan/";
     const std::string& path = request.path;
-    if (request.method == "POST" && path == "/checkin") return check_in(request.body);
+    if (request.method == "POST" && path == "/checkin") return check_in(request.body, false);
     if (request.method == "GET" && path == "/up") return front_.up();
     if (request.method == "GET" && path == "/counters") {
       return started_ ? counters_answer(context_, server_) : come_back("the node is starting");
@@ -101,7 +104,13 @@
     return plain_error(404, "no such path");
   }
 
-  HttpResponse check_in(const std::string& body) {
+  HttpResponse handle_sibling(const HttpRequest& request) {
+    if (request.method == "POST" && request.path == "/relay") return check_in(request.body, true);
+    return tell_lead(context_, request);
+  }
+
+  // `relayed`: by a sibling, to which this node is the leader; it is not passed on once more.
+  HttpResponse check_in(const std::string& body, bool relayed) {
     wire::Report report;
     try {
       report = wire::report_from(wire::decode(body));
@@ -120,15 +129,7 @@
       plan = context_.engine.plan_wanted();
       writes = context_.engine.writes_wanted();
     }
-    if (!commands) {
-      NodeName leader;
-      {
-        const std::lock_guard lock(context_.view_mutex);
-        leader = context_.leader;
-      }
-      if (leader == context_.settings.name) leader = NodeName{};
-      return {.status = 421, .body = wire::encode(wire::redirect_to(leader)), .retry_after_s = {}};
-    }
+    if (!commands) return relayed ? send_to({}) : relay_.answer(report, body);
     if (writes) context_.write_signal.raise();
     if (plan) context_.plan_signal.raise();
     // The outcome of a task is answered when it is durable, and with it what may start in its place; by the next
@@ -156,6 +157,7 @@
   CloudDuty cloud_;
   HaltDuty halt_;
   PeerDuty peers_;
+  Relay relay_;
   std::vector<std::jthread> duties_;
   std::atomic<bool> started_{false};  // requests come before the server's constructor has ended
   net::HttpServer server_;
--- /dev/null
+++ b/src/node/relay.cpp
@@ -0,0 +1,67 @@
+#include "node/relay.h"
+
+#include <spdlog/spdlog.h>
+
+#include "config/constants.h"
+
+namespace foxshunt::node {
+
+using net::HttpResponse;
+
+HttpResponse send_to(const NodeName& node) {
+  return {.status = 421, .body = wire::encode(wire::redirect_to(node)), .retry_after_s = {}};
+}
+
+Relay::Link::Link(const net::Address& to)
+    : clients(constants::kRelayClients,
+              [to] { return std::make_unique<net::HttpClient>(to, constants::kRelayConnectLimit); }) {}
+
+Relay::Relay(Context& context) : context_(context) {
+  for (const config::Sibling& sibling : context.settings.siblings) {
+    if (const auto address = net::parse_address(sibling.endpoint)) links_.try_emplace(sibling.name, *address);
+  }
+}
+
+std::optional<HttpResponse> Relay::pass_on(const NodeName& leader, const std::string& body) {
+  const auto link = links_.find(leader);
+  if (link == links_.end()) return std::nullopt;
+  {
+    const std::lock_guard lock(mutex_);
+    if (net::Clock::now() < link->second.broken_until) return std::nullopt;
+  }
+  const Pool<net::HttpClient>::Loan loan(link->second.clients);
+  if (loan.get() == nullptr) return std::nullopt;
+  auto answer =
+      loan.get()->call({.method = "POST", .path = "/relay", .body = body}, net::Clock::now() + constants::kRelayLimit);
+  if (!answer) {
+    const std::lock_guard lock(mutex_);
+    link->second.broken_until = net::Clock::now() + constants::kRelayPause;
+  }
+  return answer;
+}
+
+HttpResponse Relay::answer(const wire::Report& report, const std::string& body) {
+  NodeName leader;
+  Term term;
+  {
+    const std::lock_guard lock(context_.view_mutex);
+    leader = context_.leader;
+    term = context_.term;
+  }
+  if (leader.empty() || leader == context_.settings.name) return send_to({});
+  {
+    const std::lock_guard lock(mutex_);
+    if (!unreached_.passes(report.machine, report.term, term, now())) return send_to(leader);
+  }
+  auto answer = pass_on(leader, body);
+  if (answer && answer->status == 200) {
+    if (context_.tallies.relayed++ == 0) {
+      spdlog::info("reports of workers that can't reach {} are passed on to it", leader.text());
+    }
+    return std::move(*answer);
+  }
+  // Neither the worker nor this node reaches the leader, or it leads no longer: another node may know better.
+  return send_to({});
+}
+
+}  // namespace foxshunt::node
--- /dev/null
+++ b/src/node/relay.h
@@ -0,0 +1,37 @@
+// Reports that come to a node that does not lead: workers are sent to the leader, and the reports of those that can't
+// reach it are passed on to it over the siblings' connections, the answers back. To a worker that is a slow network;
+// the answers carry the leader's term and only the leader decides, so that no rule hangs on it.
+#pragma once
+
+#include <map>
+
+#include "control/unreached.h"
+#include "node/context.h"
+#include "node/pool.h"
+
+namespace foxshunt::node {
+
+class Relay {
+ public:
+  explicit Relay(Context& context);
+  // What a node that does not lead answers to a report, given also as it came.
+  [[nodiscard]] net::HttpResponse answer(const wire::Report& report, const std::string& body);
+
+ private:
+  struct Link {  // to a sibling
+    explicit Link(const net::Address& to);
+    Pool<net::HttpClient> clients;
+    net::Clock::time_point broken_until;  // with mutex_
+  };
+  [[nodiscard]] std::optional<net::HttpResponse> pass_on(const NodeName& leader, const std::string& body);
+
+  Context& context_;
+  std::mutex mutex_;
+  control::Unreached unreached_;
+  std::map<NodeName, Link> links_;
+};
+
+// Sends a worker to that node; to any other when it is empty.
+[[nodiscard]] net::HttpResponse send_to(const NodeName& node);
+
+}  // namespace foxshunt::node
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -217,6 +217,8 @@
       });
     } else if (verb == "cut_workers") {
       does([this, words] { world().cut_node_from_workers(which(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "cut_siblings") {
+      does([this, words] { world().cut_siblings(std::stod(words.at(1))); });
     } else if (verb == "cut") {
       does([this, words] {
         world().cut_worker(machine(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold");
