Jobs that have missed a wait objective yield to those that can still meet it; large ones wait longer

A job counts as submitted 150 s later for each wait objective of its class that it has missed, and by twice the former lag for what it takes of the fleet, 400 s at most together.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -97,8 +97,9 @@
 inline constexpr milliseconds kErrorPause = 5s;           // first pause of a job whose tasks fail
 inline constexpr milliseconds kErrorPauseMost = 120s;     // failing jobs are tried this often for ever
 inline constexpr milliseconds kHaltRepeat = 1s;           // direct halts are repeated until proof
-inline constexpr double kLagPerWork = 8;                  // times the span for which a job would fill the whole fleet
-inline constexpr milliseconds kLagMost = 180s;            // bounds how long small work may pass a large job
+inline constexpr double kLagPerWork = 16;                 // times the span for which a job would fill the whole fleet
+inline constexpr milliseconds kLagMissed = 150s;          // for each wait objective that was missed already
+inline constexpr milliseconds kLagMost = 400s;            // bounds how long small work may pass a large job
 inline constexpr std::size_t kTasksPlannedPerPass = 500;  // of one array, as the paper does
 inline constexpr std::size_t kPlacesPerPortion = 2000;    // of a pass: some 0.3 ms of a core, ten or more at 2.4% of it
 
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -285,8 +285,9 @@
   [[nodiscard]] Amounts offered(const wire::JobSpec& spec, const wire::MachineType& kind) const;
   void learn_class(const Job& job);
   void learn_gpu_demand(Instant now);
-  // How much later than it was submitted a job counts as submitted: the more it takes, the later.
-  [[nodiscard]] Millis lag(const Job& job) const;
+  // How much later than it was submitted a job counts as submitted: the more it takes, the later,
+  // and later still once it has missed what its class is hoped to wait at most.
+  [[nodiscard]] Millis lag(const Job& job, Instant now) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
   void begin_pass(Instant now);
   // How many places it looked at.
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -27,7 +27,7 @@
   return std::max(Millis(1000), std::min(from_seconds(job.spec.estimate_s), constants::kPlanHorizon));
 }
 
-Millis Engine::lag(const Job& job) const {
+Millis Engine::lag(const Job& job, Instant now) const {
   const Amounts fleet = planner_.fleet().capacity();
   double share = 0;
   for (std::size_t r = 0; r < plan::kResources; ++r) {
@@ -35,7 +35,13 @@
     share = std::max(share, static_cast<double>(job.each.of[r]) * job.spec.tasks / static_cast<double>(fleet.of[r]));
   }
   const Millis work = from_seconds(share * to_seconds(estimate(job)) * constants::kLagPerWork);
-  return std::min(work, constants::kLagMost);
+  // What was hoped for a job and can't be had any more must not cost those that can still have it.
+  Millis missed{};
+  for (const config::Objective& objective : settings_.objectives) {
+    if (objective.kind != "wait" || objective.job_class != job.spec.job_class) continue;
+    if (now - job.submitted > from_seconds(objective.within_s)) missed += constants::kLagMissed;
+  }
+  return std::min(work + missed, constants::kLagMost);
 }
 
 std::vector<Job*> Engine::planning_order(Instant now) {
@@ -63,7 +69,7 @@
       gpus += job->spec.gpus * tasks;
       const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
       if (job->pending() > 0 && job->not_before <= now)
-        order.push_back({.job = job, .borrowed = !within, .since = job->submitted + lag(*job)});
+        order.push_back({.job = job, .borrowed = !within, .since = job->submitted + lag(*job, now)});
     }
   }
   std::ranges::sort(order, [](const Entry& a, const Entry& b) {
