--- a/tests/smoke/smoke_test.cpp
+++ b/tests/smoke/smoke_test.cpp
@@ -50,6 +50,19 @@
   return answer.value_or(net::HttpResponse{.status = 0, .body = {}, .retry_after_s = {}});
 }
 
+// The first report of an idle machine of that name.
+wire::Report idle_report(const std::string& machine) {
+  return {.machine = MachineId(machine),
+          .address = "127.0.0.1:1",
+          .type = "plain",
+          .zone = "a",
+          .session = SessionNo(1),
+          .sequence = 1,
+          .term = Term(0),
+          .notice_s = {},
+          .tasks = {}};
+}
+
 TEST(Smoke, ThreeProcessesServeUsers) {
   Cluster cluster(3);
   for (std::size_t node = 0; node < 3; ++node) cluster.start(node);
@@ -139,15 +152,7 @@
     }
   }
   const std::size_t sibling = 1 - leader;
-  wire::Report report{.machine = MachineId("m-500001"),
-                      .address = "127.0.0.1:1",
-                      .type = "plain",
-                      .zone = "a",
-                      .session = SessionNo(1),
-                      .sequence = 1,
-                      .term = Term(0),
-                      .notice_s = {},
-                      .tasks = {}};
+  wire::Report report = idle_report("m-500001");
   const auto tell = [&] {
     const auto answer = post(cluster.address(sibling), "/checkin", wire::encode(wire::to_value(report)));
     report.sequence = report.sequence + 1;
@@ -275,16 +280,7 @@
   EXPECT_EQ(call(*connect(), {.method = "GET", .path = "/up", .body = {}}).status, 200);
   std::vector<std::unique_ptr<net::HttpClient>> workers;
   for (int i = 0; i < bound - users_share - 10; ++i) {  // a few places are the cluster's own cloud's
-    const std::string number = std::to_string(500'000 + i);
-    const wire::Report report{.machine = MachineId("m-" + number),
-                              .address = "127.0.0.1:1",
-                              .type = "plain",
-                              .zone = "a",
-                              .session = SessionNo(1),
-                              .sequence = 1,
-                              .term = Term(0),
-                              .notice_s = {},
-                              .tasks = {}};
+    const wire::Report report = idle_report("m-" + std::to_string(500'000 + i));
     workers.push_back(connect());
     EXPECT_EQ(
         call(*workers.back(), {.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))})
