What was booked before its machine was known is part of its use: work goes on after a takeover

What runs is booked from its record before its machine is known, so that the booking was in the fleet's and the team's use but not in the machine's; each of a machine's eight tasks then took away another one's booking when its own was replaced at the first report. A full machine seemed to be nearly empty, work was booked there and could not be placed, and really free machines were left without bookings. Change: such bookings are added to the machine's use when it becomes known. A test books, replaces and revokes as a takeover does.

--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -158,6 +158,15 @@
   entry->second.use.set_capacity(machine.capacity);
   entry->second.zone = zone_number(machine.zone);
   fleet_.set_capacity(total);
+  // After a takeover what runs on a machine is known from its record before the machine is. Left out of the machine's use,
+  // it would be taken from it all the same when it is revoked: the machine then seemed to have more room than it has, work
+  // was booked there that could not be placed, and machines that were really free went back to the cloud as idle.
+  const auto waiting = homeless_.find(machine.id);
+  if (waiting == homeless_.end()) return;
+  for (const BookingId id : waiting->second) {
+    if (const Booking* kept = booking(id)) entry->second.use.book(kept->amounts, kept->start, kept->stop);
+  }
+  homeless_.erase(waiting);
 }
 
 void Planner::remove_machine(const MachineId& machine) {
@@ -180,6 +189,8 @@
   teams_[booking.team].book(booking.amounts, booking.start, booking.stop);
   if (const auto node = nodes_.find(booking.machine); node != nodes_.end()) {
     node->second.use.book(booking.amounts, booking.start, booking.stop);
+  } else {
+    homeless_[booking.machine].push_back(id);
   }
   bookings_.emplace(id, booking);
   return id;
--- a/src/plan/planner.h
+++ b/src/plan/planner.h
@@ -169,6 +169,7 @@
   std::map<std::string, TeamLimit> limits_;
   std::map<std::string, ResourceSet> teams_;
   std::unordered_map<BookingId, Booking> bookings_;
+  std::map<MachineId, std::vector<BookingId>> homeless_;  // booked before their machine was known
   BookingId next_booking_ = 1;
 };
 
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -155,6 +155,32 @@
   }
 }
 
+// As after a takeover: what runs is known from records, its machine only when it reports, and then each booking is replaced.
+TEST(Planner, WhatWasBookedBeforeItsMachineWasKnownIsInItsUse) {
+  Planner planner;
+  const auto booking = [&](int stop_s) {
+    return planner.book({.machine = MachineId("m-1"),
+                         .team = "red",
+                         .amounts = Amounts::from(2, 0, 1),
+                         .start = at(0),
+                         .stop = at(stop_s)});
+  };
+  std::vector<BookingId> before;
+  for (int task = 0; task < 4; ++task) before.push_back(booking(100));
+  planner.set_machine(machine("m-1", 8, 0));
+  EXPECT_EQ(total(plan(planner, request(2, 4, 10))), 4U);
+  EXPECT_EQ(plan(planner, request(2, 1, 10)).front().start, at(100)) << "it is full until then";
+  std::vector<BookingId> after;
+  for (const BookingId id : before) {
+    planner.revoke(id);
+    after.push_back(booking(60));
+  }
+  EXPECT_EQ(plan(planner, request(2, 1, 10)).front().start, at(60)) << "and so it is when all have been replaced";
+  for (const BookingId id : after) planner.revoke(id);
+  EXPECT_TRUE(planner.node(MachineId("m-1"))->use.of(0).slots().empty());
+  EXPECT_EQ(plan(planner, request(2, 4, 10)).front().count, 4U);
+}
+
 TEST(Planner, RevokeAndExtendAreInverse) {
   Planner planner;
   planner.set_machine(machine("m-1", 8, 0));
