A gang that loses a task with its machine before its start gets another one in the same attempt

PROTOCOL lets a replacement with the same number complete a gang that has not started. Only where the task went with its machine or session, as a worker that still has the number would not start it again; only while all others are known to wait, and for 10 s at most.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -92,6 +92,7 @@
 inline constexpr milliseconds kHousekeepEvery = 350ms;    // expiries are noticed this late; each look costs
 inline constexpr milliseconds kExpiryMargin = 500ms;      // a worker notices its expiry late by its timers
 inline constexpr milliseconds kAllocationLimit = 10s;     // DESIGN: a start not seen by then is replanned
+inline constexpr milliseconds kGangGather = 10s;          // what is left of a gang holds its places for a replacement
 inline constexpr milliseconds kPlanHorizon = 1h;          // bookings further away tell nothing
 inline constexpr double kIdlePerBoot = 0.5;               // idle is kept for half as long as its next boot would cost
 inline constexpr milliseconds kReturnIdleLeast = 20s;     // cloud calls are few; machines are not turned over faster
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -30,6 +30,7 @@
   MachineId machine;
   SessionNo session;
   bool durable = false;  // written; only then may the start command be sent
+  bool adopted = false;  // of an earlier leader's record
   bool halting = false;
   double grace_s = 0;
   Instant halt_due;                     // when the halt is sent directly, if it is still needed
@@ -72,6 +73,7 @@
   std::vector<plan::BookingId> booked;    // of tasks that have not been placed
   std::optional<Instant> planned_start;   // of its first task that waits
   std::uint32_t late_tasks = 0;           // booked later than they should wait, or not at all
+  std::optional<Instant> gather_until;    // a gang that lost a task before its start gets another one until then
   std::uint32_t stranded = 0;             // tasks in zones that are being left
   Instant stranded_until;                 // when all of these are proved gone, if nothing is heard
 
@@ -273,6 +275,10 @@
   void finish_task(Job& job, std::uint32_t index, Instant now);
   void on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now);
   void end_gang(Job& job, Instant now);
+  // A task of the gang is gone together with its machine: another one joins the rest if they have not begun.
+  void lost_from_gang(Job& job, bool had_run, Instant now);
+  // Whether all that is left of a gang's attempt is known to wait for the others.
+  [[nodiscard]] bool gathers(const Job& job) const;
   [[nodiscard]] bool forgettable(const TaskKey& task) const;
   [[nodiscard]] bool startable(const Job& job, const Run& run, Instant now) const;
   void learn_running(Job& job, Machine& machine, Run& run, std::uint32_t index, wire::TaskState state, Instant now);
--- a/src/control/engine_explain.cpp
+++ b/src/control/engine_explain.cpp
@@ -51,6 +51,7 @@
                         zone::name_of(zones_.of(job.spec.zone)));
   }
   const bool gang = job.spec.kind == wire::JobKind::gang;
+  if (gang && job.gather_until) return text + "; they join the rest of the gang, which waits for them";
   if (gang && job.runs_count > 0) return text + "; the gang starts again when nothing of its attempt before is left";
   if (!may_start(now)) return text + "; nothing is started while the state service does not answer";
   if (!quota_for(job, gang ? waiting : 1)) return text + "; its team's limit is used up";
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -228,8 +228,9 @@
     const std::set<TaskKey> runs = entry->second.runs;
     for (const TaskKey& key : runs) {
       Job& job = jobs_.at(key.job);
+      const bool had_run = find_run(key)->running_since.has_value();
       prove_gone(job, key.index, "its machine was returned", now);
-      if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+      lost_from_gang(job, had_run, now);
     }
     forget_machine(id);
   }
@@ -281,8 +282,9 @@
       }
       for (const TaskKey& key : runs) {
         Job& job = jobs_.at(key.job);
+        const bool had_run = find_run(key)->running_since.has_value();
         prove_gone(job, key.index, "the machine's lease ended", now);
-        if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+        lost_from_gang(job, had_run, now);
       }
     }
     // A machine of a record that never reported: its tasks count until its lease can't have been renewed.
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -195,7 +195,17 @@
 std::size_t Engine::plan_job(Job& job, Instant now) {
   // A gang begins again only when nothing of its earlier attempt is left.
   const bool gang = job.spec.kind == wire::JobKind::gang;
-  if (gang && job.runs_count > 0) return 0;
+  // Unless it has lost a task before it began: then another one joins the rest.
+  const bool joins = gang && job.runs_count > 0;
+  if (joins) {
+    if (!job.gather_until || !gathers(job)) return 0;
+    if (now > *job.gather_until) {
+      end_gang(job, now);
+      return 0;
+    }
+  } else {
+    job.gather_until.reset();
+  }
   plan::Request request;
   request.team = job.spec.team;
   request.each = job.each;
@@ -330,6 +340,11 @@
     if (placings.empty() || !quota_for(job, job.pending())) return false;
     AttemptNo attempt{1};
     for (const Part& part : job.parts) attempt = std::max(attempt, part.next);
+    for (const Part& part : job.parts) {
+      // Who joins has the number of the others.
+      if (!part.runs.empty()) attempt = part.runs.begin()->second.attempt;
+    }
+    job.gather_until.reset();
     const std::vector<std::uint32_t> tasks = pending_tasks(job, job.spec.tasks);
     auto next = tasks.begin();
     for (const plan::Placing& placing : placings) {
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -123,6 +123,7 @@
   for (const state::RunRecord& record_run : record.runs) {
     Run run{.attempt = record_run.attempt, .machine = record_run.machine, .session = record_run.session};
     run.durable = true;
+    run.adopted = true;
     run.placed = now;
     Machine& machine = know_machine(run.machine, now);
     machine.runs.insert({job.spec.id, record_run.index});
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -83,6 +83,32 @@
   }
 }
 
+bool Engine::gathers(const Job& job) const {
+  return job.spec.kind == wire::JobKind::gang && job.runs_count > 0 &&
+         std::ranges::all_of(job.parts, [](const Part& part) {
+           return std::ranges::all_of(part.runs, [](const auto& entry) {
+             const Run& run = entry.second;
+             if (run.halting) return false;
+             // What an earlier leader placed may have begun long ago.
+             if (!run.seen) return !run.adopted;
+             return *run.seen == TaskState::fetching || *run.seen == TaskState::waiting;
+           });
+         });
+}
+
+// PROTOCOL, "Gangs": while the gang has not started the rest keep waiting, and a replacement with the same attempt number
+// completes it. Ending the attempt instead costs all the others their places and image fetches. If it has started after all
+// the others tell so by `mates_gone`, and the attempt ends as always.
+void Engine::lost_from_gang(Job& job, bool had_run, Instant now) {
+  if (job.spec.kind != wire::JobKind::gang) return;
+  if (had_run || job.withdrawn || !gathers(job)) return end_gang(job, now);
+  if (!job.gather_until) {
+    job.gather_until = now + from_seconds(std::min(settings_.gang_wait_s / 4, to_seconds(constants::kGangGather)));
+    spdlog::info("job {}: its gang lost a task before its start, another one is to join", job.spec.id.text());
+  }
+  plan_wanted_ = true;
+}
+
 void Engine::on_task_ended(Job& job, Machine& machine, const wire::TaskReport& task, Instant now) {
   const std::uint32_t index = task.task.index;
   const Run run = *find_run(task.task);
@@ -246,8 +272,9 @@
   }
   for (const TaskKey& key : ended_sessions) {
     Job& job = jobs_.at(key.job);
+    const bool had_run = find_run(key)->running_since.has_value();
     prove_gone(job, key.index, "the machine's session ended", now);
-    if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
+    lost_from_gang(job, had_run, now);
   }
 
   std::set<TaskKey> present;
