--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -153,7 +153,6 @@
   std::uint64_t jobs_planned = 0;  // in them
   std::uint64_t places_seen = 0;   // machines looked at for these jobs
   std::uint64_t placed = 0;        // tasks
-  std::uint64_t displaced = 0;     // tasks stopped to make room for others
   std::uint64_t writes = 0;        // transactions
   std::uint64_t writes_failed = 0;
 };
@@ -327,6 +326,8 @@
   // How many places it looked at.
   std::size_t plan_job(Job& job, Instant now);
   [[nodiscard]] std::vector<plan::Place> places_for(const Job& job, Instant now) const;
+  // For tasks that start later; revoked by the next pass.
+  void book_ahead(Job& job, const plan::Placing& placing);
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
   [[nodiscard]] bool room_for(const Job& job, const Machine& machine, std::uint32_t count) const;
   [[nodiscard]] bool quota_for(const Job& job, std::uint32_t count) const;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -239,8 +239,7 @@
 // No worker reaches this node, and no sibling passes reports on: their leases end soon, whoever leads. Another node may
 // hear them. Only while the state service answers, without which nobody could take the lead.
 bool Engine::unheard(Instant now) const {
-  const Millis silence =
-      constants::kReportAnswerLimit + constants::kRelayWithin + from_seconds(settings_.report_s * 1.25);
+  const Millis silence = detour_span(settings_);
   std::size_t silent = 0;
   for (const auto& [unused, machine] : machines_) {
     if (!machine.reported || machine.expired) continue;
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -247,11 +247,7 @@
   for (const plan::Placing& placing : placings) {
     if (placing.start <= now && machines_.at(placing.machine).state == MachineState::up) continue;
     if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
-    job.booked.push_back(planner_.book({.machine = placing.machine,
-                                        .team = job.spec.team,
-                                        .amounts = job.each.times(placing.count),
-                                        .start = placing.start,
-                                        .stop = placing.stop}));
+    book_ahead(job, placing);
   }
   if (settings_.operators.preemption && !joins && job.pending() > 0 && now >= job.displaces_after &&
       job.planned_start.value_or(plan::kForever) > now + constants::kPreemptWait) {
@@ -260,6 +256,14 @@
   return places;
 }
 
+void Engine::book_ahead(Job& job, const plan::Placing& placing) {
+  job.booked.push_back(planner_.book({.machine = placing.machine,
+                                      .team = job.spec.team,
+                                      .amounts = job.each.times(placing.count),
+                                      .start = placing.start,
+                                      .stop = placing.stop}));
+}
+
 std::vector<std::uint32_t> Engine::pending_tasks(const Job& job, std::uint32_t most) const {
   std::vector<std::uint32_t> tasks;
   for (std::uint32_t number = 0; number < job.parts.size() && tasks.size() < most; ++number) {
--- a/src/control/engine_preempt.cpp
+++ b/src/control/engine_preempt.cpp
@@ -81,7 +81,6 @@
       ++stopped;
     }
   }
-  counters_.displaced += stopped;
   if (stopped > 0) {
     spdlog::info("{} tasks of {} jobs are stopped to make room for {} of job {}, which would wait {:.0f} s", stopped,
                  chosen.size(), count, job.spec.id.text(), to_seconds(need.wait));
--- a/src/control/engine_zones.cpp
+++ b/src/control/engine_zones.cpp
@@ -10,13 +10,9 @@
 namespace foxshunt::control {
 
 bool Engine::silent(const Machine& machine, Instant now) const {
-  if (machine.reported) {
-    return now - machine.last_report >=
-           std::max(from_seconds(settings_.report_s * 2.5), from_seconds(settings_.report_s + 2));
-  }
+  if (machine.reported) return now - machine.last_report >= silence_span(settings_);
   // Its worker has had the time to find this leader.
-  return now - machine.known >
-         constants::kReportAnswerLimit + constants::kRelayWithin + from_seconds(settings_.report_s * 1.25);
+  return now - machine.known > detour_span(settings_);
 }
 
 bool Engine::counted_on(const std::string& zone) const { return settings_.in_service(zone) && zones_.trusted(zone); }
@@ -28,7 +24,6 @@
 // tasks that no record places there, for the same reason. And one that neither this leader nor the holder hears, though
 // the holder is heard: it has most likely died, and its tasks need not wait for the grant's end to start elsewhere.
 std::vector<MachineId> Engine::not_granted(const std::string& zone, Instant now) const {
-  const Millis span = std::max(from_seconds(settings_.report_s * 2.5), from_seconds(settings_.report_s + 2));
   std::vector<MachineId> except;
   for (const auto& [id, machine] : machines_) {
     if (!machine.zone.empty() && machine.zone != zone) continue;
@@ -36,7 +31,8 @@
                            const Job& job = jobs_.at(key.job);
                            return job.withdrawn || job.reload;
                          });
-    if (halting || (silent(machine, now) && !grants_.used_within(zone, id, span, now))) except.push_back(id);
+    if (halting || (silent(machine, now) && !grants_.used_within(zone, id, silence_span(settings_), now)))
+      except.push_back(id);
   }
   return except;
 }
@@ -113,8 +109,8 @@
 }
 
 void Engine::find_stranded() {
-  for (auto& [unused, job] : jobs_) job.stranded = 0;
   if (!settings_.operators.zone_evacuation) return;
+  for (auto& [unused, job] : jobs_) job.stranded = 0;
   for (const auto& [unused, machine] : machines_) {
     if (machine.runs.empty() || machine.expired || !zones_.leaves(machine.zone)) continue;
     const Instant until = lease_end(machine);
@@ -150,11 +146,7 @@
   for (const plan::Placing& placing : planner_.plan(request)) {
     planned += placing.count;
     if (placing.start > request.from + constants::kTick) job.late_tasks += placing.count;
-    job.booked.push_back(planner_.book({.machine = placing.machine,
-                                        .team = job.spec.team,
-                                        .amounts = job.each.times(placing.count),
-                                        .start = placing.start,
-                                        .stop = placing.stop}));
+    book_ahead(job, placing);
   }
   if (planned < request.count) job.late_tasks += static_cast<std::uint32_t>(request.count - planned);
   return request.places.size();
--- a/src/control/times.h
+++ b/src/control/times.h
@@ -26,6 +26,16 @@
   return std::max(plan::Millis(0), from_seconds(span_s) - constants::kFenceMargin);
 }
 
+// A machine that has reported is a suspect when it was not heard for so long.
+inline plan::Millis silence_span(const config::Settings& settings) {
+  return std::max(from_seconds(settings.report_s * 2.5), from_seconds(settings.report_s + 2));
+}
+
+// A worker that can't reach the leader, or does not know it yet, is heard through another node within it.
+inline plan::Millis detour_span(const config::Settings& settings) {
+  return constants::kReportAnswerLimit + constants::kRelayWithin + from_seconds(settings.report_s * 1.25);
+}
+
 // A grant to answer a zone's workers lasts as long as the fence would. The giver's clock may run slow meanwhile, and the
 // holder's fast: by that much it counts it as longer.
 inline zone::Spans grant_spans(const config::Settings& settings) {
--- a/src/zone/grants.cpp
+++ b/src/zone/grants.cpp
@@ -12,12 +12,6 @@
   for (const config::Sibling& sibling : siblings) holders_[sibling.name].zone = sibling.zone;
 }
 
-std::optional<Grant> Book::on_ask(const Ask& ask, Term term, std::optional<Instant> known,
-                                  const std::vector<MachineId>& except, Instant now) {
-  if (!hear(ask, term, now)) return std::nullopt;
-  return give(ask.node, term, known, except, now);
-}
-
 bool Book::hear(const Ask& ask, Term term, Instant now) {
   const auto entry = holders_.find(ask.node);
   if (entry == holders_.end() || ask.term != term) return false;
--- a/src/zone/grants.h
+++ b/src/zone/grants.h
@@ -70,9 +70,6 @@
   // ended already, and only answers the word. `except`: machines of the zone that must not be answered by others.
   Grant give(const NodeName& node, Term term, std::optional<Instant> known, const std::vector<MachineId>& except,
              Instant now);
-  // Both, for those to whom what the word tells makes no difference.
-  std::optional<Grant> on_ask(const Ask& ask, Term term, std::optional<Instant> known,
-                              const std::vector<MachineId>& except, Instant now);
 
   // Up to when a holder may have renewed, or may yet renew, the lease of the machine; zone empty: not known.
   [[nodiscard]] Instant renewed_until(const std::string& zone, const MachineId& machine) const;
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -64,6 +64,10 @@
   return one != other && (cut_zones_.contains(one) || cut_zones_.contains(other));
 }
 
+bool World::hears(std::size_t node, std::size_t sibling) const {
+  return !siblings_cut_ && nodes_[node].alive && !parted(nodes_[node].zone, nodes_[sibling].zone);
+}
+
 double World::control_seconds(Instant when) { return control::to_seconds(when.time_since_epoch()) - 1000; }
 
 std::int64_t World::wall_ms() const { return kWallStart + now_.time_since_epoch().count(); }
@@ -200,9 +204,7 @@
   }
   self.asking = true;
   const zone::Ask ask = self.holder.next_ask(self.term_seen, now_);
-  const auto reaches_leader = [this, node, leader] {
-    return !siblings_cut_ && nodes_[*leader].alive && !parted(nodes_[node].zone, nodes_[*leader].zone);
-  };
+  const auto reaches_leader = [this, node, leader] { return hears(*leader, node); };
   const auto given_up = [this, node, life = self.life] {
     if (nodes_[node].life != life) return;
     nodes_[node].asking = false;
@@ -588,7 +590,7 @@
     }
     // Passed on by this node. If that fails the worker is sent to any other node.
     after(delay(), [this, id, report, sent, leader, node] {
-      if (!siblings_cut_ && nodes_[*leader].alive && !parted(nodes_[node].zone, nodes_[*leader].zone)) {
+      if (hears(*leader, node)) {
         return take_report(id, report, sent, *leader, node);
       }
       if (answer_by_grant(id, report, sent, node, true)) return;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -148,6 +148,7 @@
   [[nodiscard]] config::Settings settings_of(std::size_t node) const;
   void begin_life(std::size_t node);
   [[nodiscard]] bool parted(const std::string& one, const std::string& other) const;
+  [[nodiscard]] bool hears(std::size_t node, std::size_t sibling) const;
   // With what the node itself was granted; false if that is nothing.
   bool answer_by_grant(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node,
                        bool leader_tried);
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -31,12 +31,19 @@
 Book book() { return {settings().siblings, spans()}; }
 Holder holder(std::uint64_t life = 1) { return {kSibling, "b", life, spans()}; }
 
+// A word and its answer, as a leader for whom what the word tells changes nothing of what it leaves out.
+std::optional<Grant> on_ask(Book& giver, const Ask& ask, Term term, std::optional<Instant> known,
+                            const std::vector<MachineId>& except, Instant now) {
+  if (!giver.hear(ask, term, now)) return std::nullopt;
+  return giver.give(ask.node, term, known, except, now);
+}
+
 TEST(Grants, EndAFenceAfterWhatTheGiverKnew) {
   Book giver = book();
   Holder held = holder();
   EXPECT_FALSE(held.answers(kMachine, "b", Term(0), kStart));
   const auto grant =
-      giver.on_ask(held.next_ask(Term(3), kStart), Term(3), kStart - Millis(700), {}, kStart + Millis(20));
+      on_ask(giver, held.next_ask(Term(3), kStart), Term(3), kStart - Millis(700), {}, kStart + Millis(20));
   ASSERT_TRUE(grant);
   // The answer comes minutes late, and counts from when it was asked for.
   ASSERT_TRUE(held.on_grant(*grant, kStart));
@@ -52,7 +59,7 @@
 TEST(Grants, AreForTheZoneTheTermAndWhoIsNotLeftOut) {
   Book giver = book();
   Holder held = holder();
-  const auto grant = giver.on_ask(held.next_ask(Term(3), kStart), Term(3), kStart, {MachineId("m-000002")}, kStart);
+  const auto grant = on_ask(giver, held.next_ask(Term(3), kStart), Term(3), kStart, {MachineId("m-000002")}, kStart);
   ASSERT_TRUE(held.on_grant(*grant, kStart));
   EXPECT_FALSE(held.answers(MachineId("m-000002"), "b", Term(3), kStart)) << "left out";
   EXPECT_FALSE(held.answers(kMachine, "a", Term(3), kStart)) << "another zone";
@@ -65,16 +72,16 @@
 TEST(Grants, ANewerOneReplacesOlderOnesForTheGiverOnlyWhenTheHolderSaysSo) {
   Book giver = book();
   Holder held = holder();
-  const auto first = giver.on_ask(held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart);
+  const auto first = on_ask(giver, held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart);
   ASSERT_TRUE(held.on_grant(*first, kStart));
   EXPECT_TRUE(held.answers(kMachine, "b", Term(3), kStart + Millis(200)));
   const Instant later = kStart + Millis(1000);
-  const auto second = giver.on_ask(held.next_ask(Term(3), later), Term(3), later, {kMachine}, later);
+  const auto second = on_ask(giver, held.next_ask(Term(3), later), Term(3), later, {kMachine}, later);
   EXPECT_GE(giver.renewed_until("b", kMachine), kStart + spans().grant) << "the first may be in use";
   ASSERT_TRUE(held.on_grant(*second, later));
   EXPECT_FALSE(held.on_grant(*first, later)) << "an older one is no step back";
   const Instant last = later + Millis(1000);
-  ASSERT_TRUE(giver.on_ask(held.next_ask(Term(3), last), Term(3), last, {kMachine}, last));
+  ASSERT_TRUE(on_ask(giver, held.next_ask(Term(3), last), Term(3), last, {kMachine}, last));
   EXPECT_EQ(giver.renewed_until("b", kMachine), kStart + Millis(200)) << "the use that was told";
   EXPECT_TRUE(giver.used_within("b", kMachine, Millis(1800), last));
   EXPECT_FALSE(giver.used_within("b", kMachine, Millis(1700), last));
@@ -83,32 +90,32 @@
 TEST(Grants, WhatAnEndedProcessDidIsCountedUpToItsSuccessor) {
   Book giver = book();
   Holder held = holder(5);
-  ASSERT_TRUE(held.on_grant(*giver.on_ask(held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart), kStart));
+  ASSERT_TRUE(held.on_grant(*on_ask(giver, held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart), kStart));
   const Ask stale = held.next_ask(Term(3), kStart + Millis(500));
   Holder next = holder(6);
   const Instant back = kStart + Millis(6000);
-  ASSERT_TRUE(giver.on_ask(next.next_ask(Term(3), back), Term(3), back, {kMachine}, back));
+  ASSERT_TRUE(on_ask(giver, next.next_ask(Term(3), back), Term(3), back, {kMachine}, back));
   EXPECT_EQ(giver.renewed_until("b", kMachine), back);
   // A word of the ended process that was held up till now says nothing of its successor.
-  ASSERT_FALSE(giver.on_ask(stale, Term(3), back, {}, back + Millis(10)));
+  ASSERT_FALSE(on_ask(giver, stale, Term(3), back, {}, back + Millis(10)));
   const auto grant =
-      giver.on_ask(next.next_ask(Term(3), back + Millis(20)), Term(3), back, {kMachine}, back + Millis(20));
+      on_ask(giver, next.next_ask(Term(3), back + Millis(20)), Term(3), back, {kMachine}, back + Millis(20));
   ASSERT_TRUE(next.on_grant(*grant, back + Millis(20)));
-  (void)giver.on_ask(next.next_ask(Term(3), back + Millis(900)), Term(3), back, {kMachine}, back + Millis(900));
+  (void)on_ask(giver, next.next_ask(Term(3), back + Millis(900)), Term(3), back, {kMachine}, back + Millis(900));
   EXPECT_EQ(giver.renewed_until("b", kMachine), back) << "not forgotten with the grants that the successor replaced";
 }
 
 TEST(Grants, WithoutTheRightThereIsAnAnswerThatGivesNothing) {
   Book giver = book();
   Holder held = holder();
-  const auto grant = giver.on_ask(held.next_ask(Term(3), kStart), Term(3), std::nullopt, {}, kStart);
+  const auto grant = on_ask(giver, held.next_ask(Term(3), kStart), Term(3), std::nullopt, {}, kStart);
   ASSERT_TRUE(grant);
   ASSERT_TRUE(held.on_grant(*grant, kStart));
   EXPECT_FALSE(held.answers(kMachine, "b", Term(3), kStart));
   EXPECT_EQ(giver.renewed_until("b", kMachine), Instant{});
-  EXPECT_FALSE(giver.on_ask(held.next_ask(Term(4), kStart), Term(3), kStart, {}, kStart)) << "another term";
+  EXPECT_FALSE(on_ask(giver, held.next_ask(Term(4), kStart), Term(3), kStart, {}, kStart)) << "another term";
   Holder stranger(NodeName("node-9"), "b", 1, spans());
-  EXPECT_FALSE(giver.on_ask(stranger.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart)) << "no sibling";
+  EXPECT_FALSE(on_ask(giver, stranger.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart)) << "no sibling";
 }
 
 TEST(Grants, OlderTermsAreOverWhenAllHaveAskedAndAskedAgain) {
@@ -116,7 +123,7 @@
   Holder one = holder();
   Holder two(NodeName("node-2"), "c", 1, spans());
   const auto round = [&](Holder& each, Instant when) {
-    const auto grant = giver.on_ask(each.next_ask(Term(3), when), Term(3), when, {}, when);
+    const auto grant = on_ask(giver, each.next_ask(Term(3), when), Term(3), when, {}, when);
     ASSERT_TRUE(grant);
     ASSERT_TRUE(each.on_grant(*grant, when));
   };
@@ -136,7 +143,7 @@
 TEST(Grants, UsesHaveToFitAWord) {
   Book giver = book();
   Holder held = holder();
-  ASSERT_TRUE(held.on_grant(*giver.on_ask(held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart), kStart));
+  ASSERT_TRUE(held.on_grant(*on_ask(giver, held.next_ask(Term(3), kStart), Term(3), kStart, {}, kStart), kStart));
   for (std::size_t machine = 0; machine < constants::kGrantMachinesMost; ++machine) {
     ASSERT_TRUE(held.answers(MachineId("m-" + std::to_string(100'000 + machine)), "b", Term(3), kStart));
   }
@@ -223,7 +230,7 @@
       }
       std::vector<MachineId> except;
       if (pick(0, 2) == 0) except.push_back(machine);
-      const auto grant = giver.on_ask(words[word].ask, Term(1), giver_clock(known), except, giver_clock(at));
+      const auto grant = on_ask(giver, words[word].ask, Term(1), giver_clock(known), except, giver_clock(at));
       // The sibling may have given up waiting for it, or have been restarted.
       if (grant && words[word].life == life && pick(0, 3) > 0) {
         (void)held.on_grant(*grant, holder_clock(words[word].asked));
