Guards have names, and a build for tests can take one out

Need: a test is worth something if it fails without the guard that it is for, and so far each guard was taken out by hand in a scratch copy. Now src/config/guards.h lists them; FOXSHUNT_SEAMS builds ask at run time whether one stands (FOXSHUNT_WITHOUT in the environment, or guards::take_out), ordinary builds have a constant.

A report also tells of tasks of its own session only: a gang's lost task may be replaced with the same attempt number on the same machine, and a report of the session before that was held up until a new leader has begun would have told of the end of the one that runs.

--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "config/constants.h"
+#include "config/guards.h"
 #include "control/engine.h"
 #include "control/times.h"
 
@@ -334,7 +335,7 @@
   const config::Team* team = settings_.team(job.spec.team);
   if (team == nullptr) return false;
   Amounts used = job.each.times(count);
-  used += jobs_.team_use(job.spec.team);
+  if (guards::kept(guards::Guard::quota_placed)) used += jobs_.team_use(job.spec.team);
   const Amounts limit = Amounts::from(team->cpus_max, team->gpus_max, 0);
   return (team->cpus_max <= 0 || used.of[0] <= limit.of[0]) && (team->gpus_max <= 0 || used.of[1] <= limit.of[1]);
 }
@@ -348,7 +349,7 @@
       const auto other = machines_.find(run.machine);
       // Where a machine that nobody has heard of stands is not known.
       const std::string stands_in = other == machines_.end() ? std::string() : other->second.seen_zone();
-      if (stands_in.empty()) return false;
+      if (stands_in.empty() && guards::kept(guards::Guard::place_known)) return false;
       if (stands_in == machine.zone) {
         ++same;
       } else if (job.spec.one_zone) {
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -4,11 +4,15 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 #include "control/engine.h"
 #include "control/times.h"
 
 namespace foxshunt::control {
 
+using guards::Guard;
+using guards::kept;
+
 Engine::Engine(config::Settings settings)
     : settings_(std::move(settings)),
       machines_(
@@ -32,7 +36,7 @@
   term_ = takeover.term;
   term_mark_ = takeover.term_mark;
   led_ = lease_confirmed_ = read_confirmed_ = now;
-  others_until_ = takeover.others_until;
+  others_until_ = kept(Guard::others_counted) ? takeover.others_until : now;
   grants_ = zone::Book(settings_.siblings, grant_spans(settings_));
   for (const config::Team& team : settings_.teams) {
     const auto limit = [](double most) {
@@ -91,7 +95,8 @@
 }
 
 void Engine::hear_of(Term term) {
-  if (leading_ && term > term_) resign("a sibling knows of term " + std::to_string(term.number()));
+  if (kept(Guard::higher_term) && leading_ && term > term_)
+    resign("a sibling knows of term " + std::to_string(term.number()));
 }
 
 void Engine::confirm_lease(Instant when) { lease_confirmed_ = std::max(lease_confirmed_, when); }
@@ -100,11 +105,13 @@
 bool Engine::may_answer(Instant now) const {
   // A cancellation that this leader can't read may have been told to a user just after the last moment whose
   // changes it knows. The workers' leases that it renews must have ended `cancel_s` after that.
-  return leading_ && now < std::min(lease_confirmed_, read_confirmed_) + fence_span(settings_);
+  const Instant known = kept(Guard::fence_reading) ? std::min(lease_confirmed_, read_confirmed_) : lease_confirmed_;
+  return leading_ && (!kept(Guard::fence) || now < known + fence_span(settings_));
 }
 
 bool Engine::may_start(Instant now) const {
-  return leading_ && now < std::min(lease_confirmed_, read_confirmed_) + constants::kLeaderLease;
+  return leading_ &&
+         (!kept(Guard::start_confirmed) || now < std::min(lease_confirmed_, read_confirmed_) + constants::kLeaderLease);
 }
 
 // ---- records ----
@@ -180,7 +187,7 @@
 void Engine::end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now) {
   // The answer to an earlier lead's write tells nothing of this one: that its condition on the term failed is no reason to
   // give this lead up, and the books that it was built from are gone.
-  if (!leading_ || batch.term_mark != term_mark_) return;
+  if (!leading_ || (kept(Guard::write_earlier_lead) && batch.term_mark != term_mark_)) return;
   ++counters_.writes;
   if (result.answer != state::Answer::ok) ++counters_.writes_failed;
   if (result.answer == state::Answer::conflict &&
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -4,11 +4,15 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 #include "control/engine.h"
 #include "control/times.h"
 
 namespace foxshunt::control {
 
+using guards::Guard;
+using guards::kept;
+
 using wire::Command;
 using wire::CommandKind;
 using wire::EndReason;
@@ -178,9 +182,9 @@
 }
 
 bool Engine::startable(const Job& job, const Run& run, Instant now) const {
-  if (!run.durable || run.halting || !may_start(now)) return false;
+  if ((kept(Guard::start_durable) && !run.durable) || run.halting || !may_start(now)) return false;
   // All tasks of a gang start, or none: each one's placement has to be durable.
-  return job.spec.kind != wire::JobKind::gang || work::Books::all_durable(job);
+  return job.spec.kind != wire::JobKind::gang || !kept(Guard::gang_durable) || work::Books::all_durable(job);
 }
 
 bool Engine::settled(const wire::Report& report) const {
@@ -201,7 +205,7 @@
 
 std::optional<std::vector<Command>> Engine::later_commands(const wire::Report& report, Instant now) {
   // An answer renews the worker's lease, so the right to answer is looked at again.
-  if (!may_answer(now)) return std::nullopt;
+  if (kept(Guard::answer_rechecked) && !may_answer(now)) return std::nullopt;
   std::vector<Command> commands;
   const auto entry = machines_.find(report.machine);
   if (entry == machines_.end()) return commands;
@@ -229,7 +233,7 @@
 
 std::optional<std::vector<Command>> Engine::on_report(const wire::Report& report, Instant now) {
   if (!leading_) return std::nullopt;
-  if (report.term > term_) {
+  if (kept(Guard::higher_term) && report.term > term_) {
     resign("a worker has seen term " + std::to_string(report.term.number()));
     return std::nullopt;
   }
@@ -245,7 +249,8 @@
   // A later session began with nothing.
   std::vector<TaskKey> ended_sessions;
   for (const TaskKey& key : machine.runs) {
-    if (const Run* run = jobs_.find_run(key); run != nullptr && run->session < report.session)
+    if (const Run* run = jobs_.find_run(key);
+        run != nullptr && run->session < report.session && kept(Guard::ended_session))
       ended_sessions.push_back(key);
   }
   for (const TaskKey& key : ended_sessions) {
@@ -264,6 +269,9 @@
         job_entry == jobs_.end() || task.task.index >= job_entry->second.spec.tasks ? nullptr : &job_entry->second;
     Run* run = job == nullptr ? nullptr : jobs_.find_run(task.task);
     if (run != nullptr && (run->attempt != task.attempt || run->machine != machine.id)) run = nullptr;
+    // A gang's lost task is replaced with the same attempt number, on the same machine perhaps. A report of the session
+    // before, held up until a new leader has begun, would tell of the end of the one that runs.
+    if (run != nullptr && kept(Guard::report_session) && run->session != report.session) run = nullptr;
     if (run != nullptr) {
       present.insert(task.task);
       if (task.state != TaskState::ended) {
@@ -283,7 +291,7 @@
       continue;
     }
     // Forgotten by the worker only when the record says how it ended.
-    if (jobs_.settled(task.task)) {
+    if (!kept(Guard::clear_settled) || jobs_.settled(task.task)) {
       commands.push_back({.kind = CommandKind::clear, .task = task.task, .attempt = task.attempt});
     }
   }
@@ -301,7 +309,8 @@
     Job& job = jobs_.at(key.job);
     // The worker had seen our term when it made this report, and this report is newer than any that was
     // answered with the start command: what is not in it does not run and will not.
-    if (machine.saw_term && (run.seen || run.halting)) {
+    const bool saw_term = machine.saw_term || !kept(Guard::absent_saw_term);
+    if (saw_term && (run.seen || run.halting || !kept(Guard::absent_told))) {
       prove_gone(job, key.index, run.seen ? "no longer reported" : "never started", now);
       if (job.spec.kind == wire::JobKind::gang) end_gang(job, now);
       continue;
--- a/src/control/engine_zones.cpp
+++ b/src/control/engine_zones.cpp
@@ -4,11 +4,15 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 #include "control/engine.h"
 #include "control/times.h"
 
 namespace foxshunt::control {
 
+using guards::Guard;
+using guards::kept;
+
 bool Engine::counted_on(const std::string& zone) const { return settings_.in_service(zone) && zones_.trusted(zone); }
 
 // ---- grants ----
@@ -22,10 +26,12 @@
   for (const auto& [id, machine] : machines_) {
     const std::string stands_in = machine.seen_zone();
     if (!stands_in.empty() && stands_in != zone) continue;
-    const bool halting = machine.strangers || std::ranges::any_of(machine.runs, [this](const TaskKey& key) {
-                           const Job& job = jobs_.at(key.job);
-                           return job.withdrawn || job.reload;
-                         });
+    const bool halting =
+        (machine.strangers && kept(Guard::grant_strangers)) ||
+        std::ranges::any_of(machine.runs, [this](const TaskKey& key) {
+          const Job& job = jobs_.at(key.job);
+          return (job.withdrawn && kept(Guard::grant_withdrawn)) || (job.reload && kept(Guard::grant_reload));
+        });
     if (halting || (machines_.silent(machine, now) && !grants_.used_within(zone, id, silence_span(settings_), now)))
       except.push_back(id);
   }
--- a/src/control/readiness.cpp
+++ b/src/control/readiness.cpp
@@ -1,18 +1,23 @@
 #include "control/readiness.h"
 
 #include "config/constants.h"
+#include "config/guards.h"
 
 namespace foxshunt::control {
 
+using guards::Guard;
+using guards::kept;
+
 std::optional<std::string_view> not_ready(const Readiness& found, plan::Instant now) {
-  if (!found.record || found.record->term != found.term || found.record->leader != found.self ||
-      found.record_mark != found.term_mark) {
+  if (!found.record) return "term-read-back";
+  if (kept(Guard::ready_term) && (found.record->term != found.term || found.record->leader != found.self ||
+                                  found.record_mark != found.term_mark)) {
     return "term-read-back";
   }
-  if (found.records_at < found.term_mark) return "records-at-term";
-  if (found.others_until < found.fence_least) return "fences-reckoned";
+  if (kept(Guard::ready_records) && found.records_at < found.term_mark) return "records-at-term";
+  if (kept(Guard::ready_fences) && found.others_until < found.fence_least) return "fences-reckoned";
   // The lease may have ended while this process stood still.
-  if (now - found.lease_asked >= constants::kLeaderLease) return "lease-confirmed";
+  if (kept(Guard::ready_lease) && now - found.lease_asked >= constants::kLeaderLease) return "lease-confirmed";
   return std::nullopt;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 
 #include "calendar/civil.h"
 #include "config/constants.h"
+#include "config/guards.h"
 #include "net/http.h"
 #include "node/calendar.h"
 #include "node/catalog.h"
@@ -197,7 +198,8 @@
       if (!context_.engine.settled(report)) {
         context_.engine_moved.wait_for(lock, constants::kReportSettle, [&] { return context_.engine.settled(report); });
         const auto later = context_.engine.later_commands(report, now());
-        if (!later || context_.engine.term() != term) return come_back("it may not act for the controllers now");
+        if (!later || (guards::kept(guards::Guard::answer_term) && context_.engine.term() != term))
+          return come_back("it may not act for the controllers now");
         for (const wire::Command& command : *later) {
           if (std::ranges::find(*commands, command) == commands->end()) commands->push_back(command);
         }
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -5,8 +5,13 @@
 #include <algorithm>
 #include <chrono>
 
+#include "config/guards.h"
+
 namespace foxshunt::roster {
 
+using guards::Guard;
+using guards::kept;
+
 Roster::Known Roster::know(const MachineId& id, Instant now) {
   const auto [entry, fresh] = machines_.try_emplace(id);
   Machine& machine = entry->second;
@@ -21,9 +26,9 @@
 }
 
 bool Roster::news(const wire::Report& report) const {
-  if (gone_.contains(report.machine)) return false;
+  if (gone_.contains(report.machine) && kept(Guard::report_returned)) return false;
   const auto known = machines_.find(report.machine);
-  if (known == machines_.end() || !known->second.reported) return true;
+  if (known == machines_.end() || !known->second.reported || !kept(Guard::report_order)) return true;
   return std::tie(report.session, report.sequence) > std::tie(known->second.session, known->second.sequence);
 }
 
@@ -98,22 +103,23 @@
 }
 
 bool Roster::usable(const Machine& machine, Instant now) const {
-  return machine.state == MachineState::up && machine.reported && !machine.strangers && !machine.expired &&
-         !silent(machine, now);
+  return machine.state == MachineState::up && machine.reported &&
+         (!machine.strangers || !kept(Guard::stranger_unusable)) &&
+         (!machine.expired || !kept(Guard::expired_unusable)) && !silent(machine, now);
 }
 
 Instant Roster::lease_end(const Machine& machine, Instant others_until, Instant granted_until) const {
   // Whoever may answer the worker may renew its lease: this leader only, once the worker has seen its term;
   // before that also an older leader, until its fence.
-  Instant renewed = machine.reported ? machine.last_report : Instant{};
-  if (!machine.saw_term) renewed = std::max(renewed, others_until);
+  Instant renewed = machine.reported && kept(Guard::lease_last_report) ? machine.last_report : Instant{};
+  if (!machine.saw_term && kept(Guard::lease_older_leaders)) renewed = std::max(renewed, others_until);
   // And in this term whoever holds a grant for its zone.
-  renewed = std::max(renewed, granted_until);
+  if (kept(Guard::lease_grants)) renewed = std::max(renewed, granted_until);
   return renewed + spans_.lease;
 }
 
 bool Roster::lease_over(const Machine& machine, Instant others_until, Instant granted_until, Instant now) const {
-  return (!machine.reported || now > machine.last_report + spans_.lease) &&
+  return (!machine.reported || now > machine.last_report + spans_.lease || !kept(Guard::lease_last_report)) &&
          now > lease_end(machine, others_until, granted_until);
 }
 
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 
 namespace foxshunt::state {
 
@@ -162,6 +163,9 @@
 
 Txn accept_txn(const JobRecord& job) {
   const std::string live = live_key(job.spec.id);
+  if (!guards::kept(guards::Guard::accept_once)) {
+    return {.conditions = {}, .changes = {{.key = live, .data = to_value(job), .lease = {}}}};
+  }
   return {.conditions = {{.key = live, .mark = {}}, {.key = over_key(job.spec.id), .mark = {}}},
           .changes = {{.key = live, .data = to_value(job), .lease = {}}}};
 }
@@ -173,6 +177,8 @@
   Txn txn{.conditions = {{.key = live_key(id), .mark = mark}, {.key = over_key(id), .mark = {}}},
           .changes = {{.key = live_key(id), .data = {}, .lease = {}},
                       {.key = over_key(id), .data = over_value(withdrawn), .lease = {}}}};
+  if (!guards::kept(guards::Guard::withdraw_mark)) txn.conditions.clear();
+  if (!guards::kept(guards::Guard::withdraw_lingers)) return txn;
   // What the job may have on machines is kept until a leader has proved it gone.
   if (!job.whole || !job.whole->runs.empty()) {
     txn.changes.push_back({.key = linger_key(id), .data = to_value(job), .lease = {}});
--- a/src/work/books.cpp
+++ b/src/work/books.cpp
@@ -6,9 +6,13 @@
 #include <chrono>
 
 #include "config/constants.h"
+#include "config/guards.h"
 
 namespace foxshunt::work {
 
+using guards::Guard;
+using guards::kept;
+
 bool Job::in_flight() const {
   return std::ranges::any_of(parts, [](const Part& part) { return part.in_flight; });
 }
@@ -229,7 +233,7 @@
     batch.txn.changes.push_back({.key = live, .data = state::to_value(whole), .lease = {}});
   } else {
     const std::string key = state::part_key(job.spec.id, number);
-    batch.txn.conditions.push_back({.key = key, .mark = part.mark});
+    if (kept(Guard::write_part)) batch.txn.conditions.push_back({.key = key, .mark = part.mark});
     part.recorded = true;
     batch.txn.changes.push_back({.key = key, .data = state::to_value(record), .lease = {}});
     // What users are shown may lag a little.
@@ -250,7 +254,7 @@
 std::optional<WriteBatch> Books::begin_write(Revision term_mark, std::size_t ops_most, Instant now) {
   if (dirty_.empty()) return std::nullopt;
   WriteBatch batch{.term_mark = term_mark, .items = {}, .txn = {}};
-  batch.txn.conditions.push_back({.key = state::kTermKey, .mark = term_mark});
+  if (kept(Guard::write_term)) batch.txn.conditions.push_back({.key = state::kTermKey, .mark = term_mark});
   std::size_t bytes = 0;
   for (auto at = dirty_.begin(); at != dirty_.end();) {
     const auto [id, number] = *at;
@@ -295,7 +299,7 @@
       }
       batch.items.push_back(std::move(item));
     } else {
-      if (!same_batch) batch.txn.conditions.push_back({.key = live, .mark = job.mark});
+      if (!same_batch && kept(Guard::write_job)) batch.txn.conditions.push_back({.key = live, .mark = job.mark});
       if (over) {
         wire::JobStatus status{.id = id, .state = wire::JobState::done, .done = job.spec.tasks, .running = 0};
         batch.txn.conditions.push_back({.key = state::over_key(id), .mark = Revision{}});
@@ -346,7 +350,7 @@
       // Without an answer the write may be applied yet. The next write is conditioned on the same mark, so
       // that one of the two fails, and a start command waits for a write that is known to have succeeded.
       if (item.kind == WriteItem::Kind::forget) continue;
-      if (result.answer != state::Answer::conflict) continue;
+      if (result.answer != state::Answer::conflict || !kept(Guard::write_reload)) continue;
       if (failed(state::live_key(item.job)) || failed(state::over_key(item.job))) job.reload = true;
       if (failed(state::part_key(item.job, number))) part.reload = true;
       continue;
--- a/src/zone/grants.cpp
+++ b/src/zone/grants.cpp
@@ -3,9 +3,13 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 
 namespace foxshunt::zone {
 
+using guards::Guard;
+using guards::kept;
+
 // ---- Book ----
 
 Book::Book(const std::vector<config::Sibling>& siblings, const Spans& spans) : spans_(spans) {
@@ -17,12 +21,13 @@
   if (entry == holders_.end() || ask.term != term) return false;
   Holder& holder = entry->second;
   // A word that was held up tells what is over: taken for a new life's, it would void grants that are in use.
-  if (std::tie(ask.life, ask.sequence) <= std::tie(holder.life, holder.sequence)) return false;
+  if (kept(Guard::ask_order) && std::tie(ask.life, ask.sequence) <= std::tie(holder.life, holder.sequence))
+    return false;
   if (ask.life != holder.life) {
     // That process has ended. What it answered before it did, it can't tell any more.
     for (Given& given : holder.given) {
       given.until = std::min(given.until, now);
-      holder.earlier.push_back(std::move(given));
+      if (kept(Guard::ask_life)) holder.earlier.push_back(std::move(given));
     }
     holder.given.clear();
   } else {
@@ -45,9 +50,13 @@
   Holder& holder = holders_.at(node);
   last_ = last_.next();
   if (!known) return Grant{.number = last_, .term = term, .zone = holder.zone, .age = spans_.grant, .except = {}};
-  holder.given.push_back({.number = last_, .until = *known + spans_.bound, .except = {except.begin(), except.end()}});
-  return Grant{
-      .number = last_, .term = term, .zone = holder.zone, .age = std::max(Millis(0), now - *known), .except = except};
+  if (kept(Guard::grant_counted))
+    holder.given.push_back({.number = last_, .until = *known + spans_.bound, .except = {except.begin(), except.end()}});
+  return Grant{.number = last_,
+               .term = term,
+               .zone = holder.zone,
+               .age = kept(Guard::grant_known) ? std::max(Millis(0), now - *known) : Millis(0),
+               .except = except};
 }
 
 // Once every sibling has asked in this term none of them leads in an older one, so that no older grant is given any
@@ -57,6 +66,7 @@
   if (!all_heard_at_) {
     if (std::ranges::all_of(holders_, [](const auto& entry) { return entry.second.heard.has_value(); })) {
       all_heard_at_ = last_;
+      if (!kept(Guard::older_terms_twice)) older_over_ = true;
     }
     return;
   }
@@ -148,11 +158,12 @@
 }
 
 void Holder::hear_of(Term term) {
-  if (grant_ && grant_->term < term) grant_.reset();
+  if (kept(Guard::holder_older) && grant_ && grant_->term < term) grant_.reset();
 }
 
 std::optional<Term> Holder::answers(const MachineId& machine, const std::string& zone, Term seen, Instant now) {
-  if (!grant_ || now >= until_ || zone != zone_ || seen > grant_->term || except_.contains(machine)) {
+  if (!grant_ || (kept(Guard::holder_clock) && now >= until_) || zone != zone_ ||
+      (kept(Guard::holder_term) && seen > grant_->term) || (kept(Guard::holder_except) && except_.contains(machine))) {
     return std::nullopt;
   }
   // All uses have to fit a word.
