--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -1128,10 +1128,10 @@
 }
 
 void World::on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& id, bool done) {
-  served_.on_gone(task, attempt);
+  served_.on_gone(task, attempt, now_);
   if (done) done_.insert(task);
   where_[task].erase(id);
-  rules_.on_gone(task, id, done);
+  rules_.on_gone(task, id, done, now_);
 }
 
 // ---- users ----
