The emulated world refuses one controller, writes late, and has deaf and mute machines

Change: five troubles as scenario commands, each counted as trouble for its span. refuse_state: 503 for one controller alone; the first look of a watch after the refusal began stands for the one that was open then, and waits as in an outage until the refusal is over or the caller gives it up. Leases run out. late_writes: the transaction is carried out 2 to 12 s later, or at once with the answer lost; that which takes the lead too. late_reports: copies for every controller, later or as a new leader begins. deaf, mute: one machine, a share or a zone. A leader asks its siblings for a newer term when it has heard nothing of the state service for as long as src/node waits, not only in a cut; and over a cut between zones it hears nothing. expect struck tells how often a trouble has struck. The new luck has a source of its own.

--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -98,6 +98,13 @@
   static MachineId machine(const std::string& name) { return MachineId(name); }
   static std::size_t node(const std::string& name) { return std::stoul(name); }
 
+  // The machines of a trouble: `m-000001`, `share P` or `zone Z`.
+  std::vector<MachineId> machines(const Words& words) {
+    if (words.at(1) == "share") return world().some_machines(std::stod(words.at(2)));
+    if (words[1] == "zone") return world().machines_in(words.at(2));
+    return {machine(words[1])};
+  }
+
   // The node of a trouble: its number, or `leader` at that moment.
   std::size_t which(const std::string& name) { return name == "leader" ? world().leader().value_or(0) : node(name); }
 
@@ -375,6 +382,24 @@
       does([this, words] { world().notice(machine(words.at(1)), std::stod(words.at(2))); });
     } else if (verb == "faulty") {
       does([this, words] { world().make_faulty(machine(words.at(1))); });
+    } else if (verb == "refuse_state") {
+      does([this, words] { world().refuse_state(which(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "late_writes") {
+      does([this, words] {
+        world().late_writes(std::stod(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "at_once");
+      });
+    } else if (verb == "late_reports") {
+      does([this, words] {
+        world().late_reports(std::stod(words.at(1)), std::stod(words.at(2)),
+                             words.size() > 3 && words[3] == "for_next");
+      });
+    } else if (verb == "deaf" || verb == "mute") {
+      does([this, words, verb] {
+        for (const MachineId& id : machines(words)) {
+          if (verb == "deaf") world().make_deaf(id, std::stod(words.back()));
+          if (verb == "mute") world().make_mute(id, std::stod(words.back()));
+        }
+      });
     } else if (verb == "windows") {
       does([this, words] { world().open_windows(words.at(1) == "open"); });
     } else if (verb == "expect") {
@@ -519,6 +544,8 @@
       } else {
         EXPECT_EQ(world().machines_up(), count);
       }
+    } else if (what == "struck") {  // TROUBLE at_least N, by its command
+      EXPECT_GE(world().struck(words.at(2)), std::stoul(words.at(4)));
     } else if (what == "leader") {
       ASSERT_TRUE(world().leader());
       if (words.at(2) != "any") {
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -22,7 +22,12 @@
 constexpr Millis kPollEvery{2000};
 constexpr std::uint64_t kOverPolls = 8;  // one in so many asks about jobs that are over
 constexpr Millis kLook{500};             // of followers at who leads, for want of a watch
-constexpr Millis kWordDelay{4};          // of siblings' words; fixed, so that they change no other day's luck
+constexpr Millis kOpenWatch{600};        // a look so soon after a refusal began stands for the watch that was open then
+constexpr double kLateWriteLeast = 2;    // s
+constexpr double kLateWriteMost = 12;    // s
+constexpr double kLateReportLeast = 2;   // s
+constexpr double kLateReportLeases = 2.5;
+constexpr Millis kWordDelay{4};  // of siblings' words; fixed, so that they change no other day's luck
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
 
 }  // namespace
@@ -34,6 +39,7 @@
       users_luck_(seed + 1),
       copies_luck_(seed + 2),
       words_luck_(seed + 3),
+      troubles_luck_(seed + 4),
       now_(Millis(1'000'000)),
       balancer_(nodes),
       rules_(settings_) {
@@ -149,7 +155,7 @@
 
 template <typename Result>
 void World::call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what,
-                       std::function<void(const Result&)> then, bool copied) {
+                       std::function<void(const Result&)> then, bool copied, Millis hold) {
   const std::uint64_t life = nodes_[node].life;
   const auto reply = [this, node, duty, life, then](const Result& result, Millis wait) {
     const auto hear = [this, node, duty, life, then, result] {
@@ -167,6 +173,16 @@
   none.answer = Answer::none;
   Result refused;
   refused.answer = Answer::refused;
+  if (this->refused(node)) {
+    ++struck_["refuse_state"];
+    if (hold == Millis(0) || now_ - nodes_[node].refused_from > kOpenWatch) return reply(refused, delay());
+    return repeat(kStep, [this, node, life, what, reply, none, limit = now_ + hold + constants::kStateCallLimit] {
+      if (!nodes_[node].alive || nodes_[node].life != life) return true;
+      if (now_ >= limit) return reply(none, Millis(0)), true;
+      if (this->refused(node) || state_out_ || nodes_[node].cut_from_state) return false;
+      return reply(what(store_), delay()), true;
+    });
+  }
   if (state_out_) return reply(refused, delay());
   const auto zone_cut = cut_zones_.find(nodes_[node].zone);
   if (nodes_[node].cut_from_state || zone_cut != cut_zones_.end()) {
@@ -183,6 +199,14 @@
   // A request may be lost, or its answer.
   const int luck = std::uniform_int_distribution<int>(0, 399)(random_);
   if (luck == 0) return reply(none, constants::kStateCallLimit);
+  if constexpr (std::is_same_v<Result, state::TxnResult>) {
+    if (const Fate found = fate(); found != Fate::answered) {
+      const auto carry_out = [what](StateStore& store) { (void)what(store); };
+      if (found == Fate::late) carry_out_late(carry_out);
+      if (found == Fate::unanswered) after(delay(), [this, carry_out] { carry_out(store_); });
+      return reply(none, constants::kStateCallLimit);
+    }
+  }
   after(delay(), [this, what, reply, luck, none, copied] {
     Result result = what(store_);
     if (copied) {
@@ -190,7 +214,7 @@
         if (!state_out_) (void)what(store_);
       });
     }
-    if (luck == 1) return reply(none, constants::kStateCallLimit);
+    if (luck == 1 || result.answer == Answer::none) return reply(none, constants::kStateCallLimit);
     reply(result, delay());
   });
 }
@@ -234,11 +258,13 @@
 // Siblings tell a leader that has lost the state service of a successor.
 void World::peer_duty(std::size_t node) {
   Node& self = nodes_[node];
-  if (siblings_cut_ || !self.cut_from_state || now_ < self.next_peers) return;
+  const bool silent = self.state_heard && now_ - *self.state_heard >= constants::kPeerSilence;
+  if ((!self.cut_from_state && !silent) || now_ < self.next_peers) return;
   self.next_peers = now_ + constants::kPeerEvery;
   for (std::size_t other = 0; other < nodes_.size(); ++other) {
     const Node& sibling = nodes_[other];
-    if (other == node || !sibling.alive || !sibling.engine->leading() || sibling.engine->term() <= self.engine->term())
+    if (other == node || !hears(other, node) || !sibling.engine->leading() ||
+        sibling.engine->term() <= self.engine->term())
       continue;
     self.leader_seen = NodeName("node-" + std::to_string(other));
     self.engine->hear_of(sibling.engine->term());
@@ -407,7 +433,8 @@
         if (held && seen.view.record.leader != name) return again(kLook);
         if (!me.engine->gives_way(now_)) take_lead(node, seen.view);
         again(kLook);
-      });
+      },
+      true, self.leader_seen.empty() ? Millis(0) : Millis(constants::kLeaderWatchHold));
 }
 
 void World::take_lead(std::size_t node, const state::LeadView& view) {
@@ -428,7 +455,13 @@
         Taken taken;
         taken.lease = store.grant(constants::kLeaderLease, now_);
         const state::Txn txn = state::take_lead_txn(view, name, taken.lease, until);
+        const Fate found = fate();
+        if (found == Fate::late) {
+          carry_out_late([txn](StateStore& later) { (void)later.txn(txn); });
+          return taken;
+        }
         const state::TxnResult result = store.txn(txn);
+        if (found == Fate::unanswered) return taken;
         copy_late([this, txn] {
           if (!state_out_) (void)store_.txn(txn);
         });
@@ -463,6 +496,7 @@
           }
         }
         if (me.calendar) me.engine->on_dues(calendar::dues_of(*me.calendar, {.at = now_, .wall_ms = wall_ms()}));
+        on_new_leader();
         me.calling_follow = me.calling_write = me.calling_cloud = false;
       },
       false);
@@ -492,7 +526,8 @@
         }
         me.engine->confirm_reading(sent);
         me.follow_from = news.revision;
-      });
+      },
+      true, constants::kFollowHold);
 }
 
 // As src/node/shared.cpp does.
@@ -538,7 +573,8 @@
         if (news.answer != Answer::ok) return;
         me.ledger->heard(news.events, news.revision);
         if (me.calendar) me.calendar->look({.wall_ms = wall_ms(), .steady = now_});
-      });
+      },
+      true, constants::kLedgerHold);
 }
 
 // As src/node/shared.cpp does: the leader's plan, what jobs ended as, and a write.
@@ -817,10 +853,12 @@
       Rented& target = machines_.at(halt.machine);
       if (target.gone || !target.worker->alive) return true;
       if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
+      if (!is_heard(node, target)) return true;
       (void)target.worker->direct(term, halt.session, halt.commands, now_);
       target.changed = true;
       copy_late([this, halt, term] {
         const Rented& again = machines_.at(halt.machine);
+        if (now_ < again.deaf_until) return;
         if (!again.gone && again.worker->alive) (void)again.worker->direct(term, halt.session, halt.commands, now_);
       });
       return true;
@@ -881,7 +919,8 @@
             PoolSide& mine = *nodes_[node].pools;
             done(mine);
             if (news.answer == Answer::ok) mine.ledger.heard(news.events, news.revision);
-          });
+          },
+          true, constants::kLedgerHold);
     }
   }
   if (now_ >= side.next_look && side.read) {
@@ -949,6 +988,13 @@
          !parted(nodes_[node].zone, machine.zone);
 }
 
+bool World::is_heard(std::size_t node, const Rented& machine) {
+  if (!reaches(node, machine)) return false;
+  if (now_ >= machine.deaf_until) return true;
+  ++struck_["deaf"];
+  return false;
+}
+
 void World::worker_step(const MachineId& id) {
   Rented& machine = machines_.at(id);
   if (machine.gone || !machine.worker->alive) return;
@@ -962,7 +1008,13 @@
     const wire::Report report = machine.worker->report();
     const Instant sent = now_;
     const std::size_t node = machine.node;
-    after(delay(), [this, id, report, sent, node] { deliver_report(id, report, sent, node); });
+    const Millis way = delay();
+    if (now_ < machine.mute_until) {
+      ++struck_["mute"];
+    } else {
+      after(way, [this, id, report, sent, node] { deliver_report(id, report, sent, node); });
+      copy_report(report);
+    }
     // Without an answer within 4 s it turns to the next node.
     const std::uint64_t sequence = report.sequence;
     after(constants::kReportAnswerLimit, [this, id, sequence, node] {
@@ -982,6 +1034,7 @@
   Rented& machine = machines_.at(id);
   if (machine.gone) return;
   if (!nodes_[node].alive) {  // refused
+    if (now_ < machine.deaf_until) return;
     machine.reporting = false;
     machine.node = (node + 1) % nodes_.size();
     machine.next_report = now_ + Millis(1000);
@@ -1014,7 +1067,7 @@
       }
       if (answer_by_grant(id, report, sent, node, true)) return;
       Rented& target = machines_.at(id);
-      if (target.gone || !target.reporting || target.node != node || !reaches(node, target)) return;
+      if (target.gone || !target.reporting || target.node != node || !is_heard(node, target)) return;
       target.reporting = false;
       target.node = (node + 1) % nodes_.size();
       target.next_report = now_ + Millis(1000);
@@ -1035,7 +1088,7 @@
   after(kWordDelay, [this, id, term = *term, session = report.session, sent, node] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
-    if (!reaches(node, target) || target.worker->hung) return;
+    if (!is_heard(node, target) || target.worker->hung) return;
     target.reporting = false;
     target.next_report = now_ + from_seconds(settings_.report_s);
     target.worker->answer(term, {}, session, sent, now_);
@@ -1090,7 +1143,7 @@
   after(delay(), [this, id, commands, term, session = report.session, sent, node = via] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
-    if (!reaches(node, target) || target.worker->hung) return;  // lost, or too late when it goes on
+    if (!is_heard(node, target) || target.worker->hung) return;  // lost, or too late when it goes on
     target.reporting = false;
     const double jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
     target.next_report = now_ + from_seconds(settings_.report_s * jitter);
@@ -1234,7 +1287,7 @@
   for (const JobId& id : accepted_) {
     if (!all && rules_.is_over(id)) continue;
     const auto node = balancer_.choose([this](std::size_t one) { return in_users_reach(one); }, users_luck_, now_);
-    if (!node || state_out_ || nodes_[*node].cut_from_state || late(*node, Duty::users)) continue;
+    if (!node || state_out_ || nodes_[*node].cut_from_state || refused(*node) || late(*node, Duty::users)) continue;
     if (const auto status = ask(id)) {
       rules_.on_told(id, status->state, now_);
       if (rules_.is_over(id)) served_.on_over(id);
@@ -1265,6 +1318,8 @@
     fresh.cut_from_state = nodes_[node].cut_from_state;
     fresh.state_holds = nodes_[node].state_holds;
     fresh.cut_from_workers = nodes_[node].cut_from_workers;
+    fresh.refused_from = nodes_[node].refused_from;
+    fresh.refused_until = nodes_[node].refused_until;
     nodes_[node] = std::move(fresh);
     begin_life(node);
     duties(node, nodes_[node].life);
@@ -1361,6 +1416,105 @@
   if (machines_.at(id).worker) machines_.at(id).worker->faulty = true;
 }
 
+bool World::lucky(double share) { return between(0, 1) < share; }
+
+double World::between(double low, double high) {
+  return std::uniform_real_distribution<double>(low, high)(troubles_luck_);
+}
+
+std::size_t World::struck(const std::string& trouble) const {
+  const auto found = struck_.find(trouble);
+  return found == struck_.end() ? 0 : found->second;
+}
+
+void World::refuse_state(std::size_t node, double for_s) {
+  trouble(for_s);
+  Node& self = nodes_[node];
+  if (!refused(node)) self.refused_from = now_;
+  self.refused_until = std::max(self.refused_until, now_ + from_seconds(for_s));
+}
+
+void World::late_writes(double share, double for_s, bool at_once) {
+  trouble(for_s + (at_once ? 0 : kLateWriteMost));
+  late_writes_ = {.share = share, .until = now_ + from_seconds(for_s), .at_once = at_once};
+}
+
+World::Fate World::fate() {
+  if (now_ >= late_writes_.until || !lucky(late_writes_.share)) return Fate::answered;
+  ++struck_["late_writes"];
+  return late_writes_.at_once ? Fate::unanswered : Fate::late;
+}
+
+void World::carry_out_late(std::function<void(StateStore&)> what) {
+  repeat(from_seconds(between(kLateWriteLeast, kLateWriteMost)), [this, what = std::move(what)] {
+    if (state_out_) return false;
+    what(store_);
+    return true;
+  });
+}
+
+void World::late_reports(double share, double for_s, bool for_next) {
+  trouble(for_s + kLateReportLeases * settings_.lease_s);
+  late_reports_ = {.share = share, .until = now_ + from_seconds(for_s), .for_next = for_next};
+}
+
+void World::copy_report(const wire::Report& report) {
+  if (now_ >= late_reports_.until || !lucky(late_reports_.share)) return;
+  if (late_reports_.for_next) return reports_for_next_.push_back(report);
+  after(from_seconds(between(kLateReportLeast, kLateReportLeases * settings_.lease_s)), [this, report] {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) hear_copy(node, report);
+  });
+}
+
+void World::on_new_leader() {
+  for (const wire::Report& report : std::exchange(reports_for_next_, {})) {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) hear_copy(node, report);
+  }
+}
+
+// As a report that has just been sent, but nobody waits for the answer.
+void World::hear_copy(std::size_t node, const wire::Report& report) {
+  Node& self = nodes_[node];
+  if (!self.alive || self.cut_from_workers || parted(self.zone, report.zone)) return;
+  ++struck_["late_reports"];
+  if (self.engine->leading()) {
+    (void)self.engine->on_report(report, now_);
+    return;
+  }
+  const auto leader = node_of(self.leader_seen);
+  if (leader && *leader != node && hears(*leader, node) &&
+      self.unreached.passes(report.machine, report.term, self.term_seen, now_)) {
+    (void)nodes_[*leader].engine->on_report(report, now_);
+    return;
+  }
+  (void)self.holder.answers(report.machine, report.zone, report.term, now_);
+}
+
+void World::make_deaf(const MachineId& id, double for_s) {
+  trouble(for_s);
+  Rented& machine = machines_.at(id);
+  machine.deaf_until = std::max(machine.deaf_until, now_ + from_seconds(for_s));
+}
+
+void World::make_mute(const MachineId& id, double for_s) {
+  trouble(for_s);
+  Rented& machine = machines_.at(id);
+  machine.mute_until = std::max(machine.mute_until, now_ + from_seconds(for_s));
+}
+
+std::vector<MachineId> World::some_machines(double share) {
+  std::vector<MachineId> names = machine_names();
+  std::shuffle(names.begin(), names.end(), troubles_luck_);
+  names.resize(static_cast<std::size_t>(std::ceil(share * static_cast<double>(names.size()))));
+  return names;
+}
+
+std::vector<MachineId> World::machines_in(const std::string& zone) const {
+  std::vector<MachineId> names = machine_names();
+  std::erase_if(names, [&](const MachineId& id) { return machines_.at(id).zone != zone; });
+  return names;
+}
+
 std::optional<std::size_t> World::leader() const {
   std::optional<std::size_t> best;
   for (std::size_t node = 0; node < nodes_.size(); ++node) {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -92,6 +92,22 @@
   void die(const MachineId& machine);
   void notice(const MachineId& machine, double notice_s);
   void make_faulty(const MachineId& machine);
+  // The state service refuses this node alone: 503 at once, while its open watches wait and its lease runs out.
+  void refuse_state(std::size_t node, double for_s);
+  // That share of transactions gets no answer and is carried out 2 to 12 s later; or at once, the answer being lost.
+  void late_writes(double share, double for_s, bool at_once);
+  // Of that share of reports a copy comes to every controller again, after 2 s to over two leases; or is kept until a
+  // new leader begins, and comes to all at that moment.
+  void late_reports(double share, double for_s, bool for_next);
+  // Its reports arrive; answers and direct commands to it are lost.
+  void make_deaf(const MachineId& machine, double for_s);
+  // It opens no connection to a controller; direct commands reach it.
+  void make_mute(const MachineId& machine, double for_s);
+  // That share of the machines that are up, and those of a zone.
+  [[nodiscard]] std::vector<MachineId> some_machines(double share);
+  [[nodiscard]] std::vector<MachineId> machines_in(const std::string& zone) const;
+  // How often a trouble has struck so far, by the name of its command in scenarios.
+  [[nodiscard]] std::size_t struck(const std::string& trouble) const;
   // In force from now on; all controllers follow the records from then on.
   void declare(const catalog::Set& set);
 
@@ -173,6 +189,8 @@
     bool cut_from_state = false;
     bool state_holds = false;
     bool cut_from_workers = false;
+    Instant refused_from;  // by the state service
+    Instant refused_until;
     state::LeaseId lease;
     Revision follow_from;
     NodeName leader_seen;
@@ -219,7 +237,21 @@
     bool reporting = false;
     Instant next_report;
     bool changed = false;
+    Instant deaf_until;
+    Instant mute_until;
   };
+  struct LateWrites {
+    double share = 0;
+    Instant until;
+    bool at_once = false;
+  };
+  struct LateReports {
+    double share = 0;
+    Instant until;
+    bool for_next = false;
+  };
+  // What becomes of a transaction.
+  enum class Fate : std::uint8_t { answered, unanswered, late };
 
   static double control_seconds(Instant when);
   // Again and again until it is true.
@@ -234,7 +266,17 @@
   // A call to the state service: its answer, late or never, reaches the node if that life of it still runs.
   template <typename Result>
   void call_state(std::size_t node, Duty duty, std::function<Result(StateStore&)> what,
-                  std::function<void(const Result&)> then, bool copied = true);
+                  std::function<void(const Result&)> then, bool copied = true, Millis hold = Millis(0));
+  [[nodiscard]] bool refused(std::size_t node) const { return now_ < nodes_[node].refused_until; }
+  [[nodiscard]] bool lucky(double share);  // from the troubles' own luck
+  [[nodiscard]] double between(double low, double high);
+  [[nodiscard]] Fate fate();
+  // After newer ones, and not during an outage.
+  void carry_out_late(std::function<void(StateStore&)> what);
+  // A copy of a report that was sent long ago.
+  void hear_copy(std::size_t node, const wire::Report& report);
+  void copy_report(const wire::Report& report);
+  void on_new_leader();
   [[nodiscard]] bool late(std::size_t node, Duty duty) const;
   void peer_duty(std::size_t node);
   void ask_duty(std::size_t node);
@@ -273,6 +315,8 @@
   void take_report(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node, std::size_t via);
   [[nodiscard]] std::optional<std::size_t> node_of(const NodeName& name) const;
   [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
+  // What a node sends to it, be it an answer or a command.
+  [[nodiscard]] bool is_heard(std::size_t node, const Rented& machine);
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
   [[nodiscard]] std::vector<wire::MachineType> types() const;
   [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
@@ -288,6 +332,7 @@
   std::mt19937 users_luck_;  // of their own, so that they change no day's other luck
   std::mt19937 copies_luck_;
   std::mt19937 words_luck_;
+  std::mt19937 troubles_luck_;
   Instant now_;
   std::multimap<Instant, std::function<void()>> agenda_;
   StateStore store_;
@@ -304,6 +349,10 @@
   std::size_t rented_ = 0;
   bool fetches_share_ = false;
   bool late_copies_ = false;
+  LateWrites late_writes_;
+  LateReports late_reports_;
+  std::vector<wire::Report> reports_for_next_;  // copies that wait for the next leader
+  std::map<std::string, std::size_t> struck_;
   std::multimap<Moment, double> crashes_during_;
   Balancer balancer_;
   std::uint64_t polls_ = 0;
