A job that is called off while a new leader reads the records is taken in once

The leader's pages of live/ are read before those of linger/, and not at one revision. A job that its user withdrew between the two was in both lists and adopted twice: its tasks counted twice for its team's limit, once more than they can be proved gone, and the job was never forgotten, so that other work of the team waited until the next leader. The later list wins now.

Meetings.AJobCalledOffWhileTheRecordsAreReadIsOneJob fails with FOXSHUNT_WITHOUT=adopted-once.

--- a/src/config/guards.h
+++ b/src/config/guards.h
@@ -52,6 +52,7 @@
   write_earlier_lead,   // the answer to an earlier lead's write is dropped
   withdraw_mark,        // a cancellation is conditioned on the record that was read
   withdraw_lingers,     // what a withdrawn job has on machines is kept until it is proved gone
+  adopted_once,         // a job that is withdrawn while a new leader reads is found in live/ and linger/: it is one job
   accept_once,          // a job is accepted if it is neither live nor over
   live_before_over,     // live/ is read before over/
   unclear_accept,       // a submission without an answer is looked up
@@ -110,6 +111,7 @@
     Name{Guard::write_earlier_lead, "write-earlier-lead"},
     Name{Guard::withdraw_mark, "withdraw-mark"},
     Name{Guard::withdraw_lingers, "withdraw-lingers"},
+    Name{Guard::adopted_once, "adopted-once"},
     Name{Guard::accept_once, "accept-once"},
     Name{Guard::live_before_over, "live-before-over"},
     Name{Guard::unclear_accept, "unclear-accept"},
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -52,8 +52,14 @@
       spdlog::error("record {} cannot be read: {}", entry.key, error.what());
     }
   };
-  for (const state::Entry& entry : takeover.live) load(entry, false);
+  // What lingers is read last, and a job that its user withdraws meanwhile is in both: taken in twice its tasks would
+  // count twice for the team's limit, and once more than they can be proved gone.
   for (const state::Entry& entry : takeover.linger) load(entry, true);
+  for (const state::Entry& entry : takeover.live) {
+    const auto id = state::job_of_key(entry.key);
+    if (kept(Guard::adopted_once) && id && jobs_.find(*id) != jobs_.end()) continue;
+    load(entry, false);
+  }
   for (const state::Entry& entry : takeover.parts) {
     const auto id = state::job_of_key(entry.key);
     const auto number = state::part_of_key(entry.key);
--- a/tests/unit/meetings_test.cpp
+++ b/tests/unit/meetings_test.cpp
@@ -113,5 +113,29 @@
   for (const auto& [unused, run] : engine_.jobs().at(kJob).parts[0].runs) EXPECT_FALSE(run.halting);
 }
 
+// A new leader reads live/ and then linger/. A job that is called off between the two is found in both; it is one job, whose
+// tasks count once for the limit, are proved gone, and are forgotten.
+TEST_F(Meetings, AJobCalledOffWhileTheRecordsAreReadIsOneJob) {
+  const wire::JobSpec spec = job_of(2);
+  lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})},
+       {placed(state::linger_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})});
+  EXPECT_EQ(engine_.disagreement(), std::nullopt);
+  ASSERT_TRUE(engine_.jobs().contains(kJob));
+  EXPECT_TRUE(engine_.jobs().at(kJob).withdrawn);
+  engine_.on_job_removed(kJob, now_);  // by the watch, which begins at what was read first
+  wire::JobSpec next = job_of(4);
+  next.id = JobId("j-000002");
+  engine_.on_job_record(next.id, state::to_value(state::new_job(next, 0)), Revision(20), 0, now_);
+  for (const char* name : {"m-000001", "m-000002", "m-000003"}) (void)report(MachineId(name), 1, 10, Term(7), {});
+  EXPECT_FALSE(engine_.jobs().at(kJob).runs_count > 0) << "what is proved gone counts still";
+  engine_.plan_pass(now_);
+  EXPECT_EQ(engine_.jobs().at(next.id).runs_count, 4U) << "of 8 CPUs each, for a limit of 32";
+  const auto write = engine_.begin_write(now_);
+  ASSERT_TRUE(write);
+  engine_.end_write(*write, {.answer = state::Answer::ok, .revision = Revision(30), .failed = {}}, now_);
+  EXPECT_FALSE(engine_.jobs().contains(kJob)) << "it is never forgotten";
+  EXPECT_EQ(engine_.disagreement(), std::nullopt);
+}
+
 }  // namespace
 }  // namespace foxshunt::control
