A list of all records that an earlier lead asked for teaches the next one nothing

When the watch is too far behind a leader lists live/ and compares. The answer was taken whoever led by then: a node that lost the lead meanwhile and had it again would have withdrawn what was accepted since, in memory, so that it never ran, and taken in what is over. The comparison moves into Engine::on_job_list, which looks at the term in which the read began, as the watch's answer is looked at.

Meetings.AListThatAnEarlierLeadReadTellsTheNextOneNothing fails with FOXSHUNT_WITHOUT=list-term.

--- a/src/config/guards.h
+++ b/src/config/guards.h
@@ -50,6 +50,7 @@
   write_part,           // and on the part's
   write_reload,         // after a conflict the record is read again
   write_earlier_lead,   // the answer to an earlier lead's write is dropped
+  list_term,            // and a list of all records that an earlier lead read
   withdraw_mark,        // a cancellation is conditioned on the record that was read
   withdraw_lingers,     // what a withdrawn job has on machines is kept until it is proved gone
   adopted_once,         // a job that is withdrawn while a new leader reads is found in live/ and linger/: it is one job
@@ -109,6 +110,7 @@
     Name{Guard::write_part, "write-part"},
     Name{Guard::write_reload, "write-reload"},
     Name{Guard::write_earlier_lead, "write-earlier-lead"},
+    Name{Guard::list_term, "list-term"},
     Name{Guard::withdraw_mark, "withdraw-mark"},
     Name{Guard::withdraw_lingers, "withdraw-lingers"},
     Name{Guard::adopted_once, "adopted-once"},
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -107,6 +107,9 @@
   // ---- records ----
   void on_job_record(const JobId& job, const wire::Value& record, Revision mark, std::int64_t wall_ms, Instant now);
   void on_job_removed(const JobId& job, Instant now);
+  // All of live/, as a read found it that began in that term. False if this lead is another one: it knows better.
+  [[nodiscard]] bool on_job_list(Term read_in, const std::vector<state::Entry>& live, std::int64_t wall_ms,
+                                 Instant now);
   [[nodiscard]] std::optional<work::Reload> next_reload() const { return jobs_.next_reload(); }
   // What a fresh read of the record found.
   void on_reloaded(const work::Reload& reload, std::optional<Revision> mark, Instant now);
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -171,6 +171,24 @@
   withdraw(*job, now);
 }
 
+bool Engine::on_job_list(Term read_in, const std::vector<state::Entry>& live, std::int64_t wall_ms, Instant now) {
+  // Read in an earlier lead, it lacks what was accepted since, which would be taken for withdrawn and never run.
+  if (!leading_ || (kept(Guard::list_term) && read_in != term_)) return false;
+  std::set<JobId> there;
+  for (const state::Entry& entry : live) {
+    const auto id = state::job_of_key(entry.key);
+    if (!id) continue;
+    there.insert(*id);
+    on_job_record(*id, entry.data, entry.mark, wall_ms, now);
+  }
+  std::vector<JobId> removed;
+  for (const auto& [id, job] : jobs_.all()) {
+    if (!job.withdrawn && !there.contains(id)) removed.push_back(id);
+  }
+  for (const JobId& id : removed) on_job_removed(id, now);
+  return true;
+}
+
 void Engine::withdraw(Job& job, Instant now) {
   for (const plan::BookingId booking : job.booked) planner_.revoke(booking);
   job.booked.clear();
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -274,7 +274,7 @@
     const state::FollowResult news =
         client_.follow(state::kLivePrefix, from, constants::kFollowHold, call_limit() + constants::kFollowHold);
     if (news.answer == Answer::too_old) {
-      reload(stop);
+      reload(stop, term);
       continue;
     }
     if (news.answer != Answer::ok) {
@@ -307,7 +307,7 @@
 }
 
 // The watch is too far behind: what is there now is compared with what is known.
-void FollowDuty::reload(const std::stop_token& stop) {
+void FollowDuty::reload(const std::stop_token& stop, Term term) {
   const plan::Instant sent = now();
   const state::ListResult live = client_.list(state::kLivePrefix, constants::kStateCallLimit);
   if (live.answer != Answer::ok) {
@@ -317,18 +317,7 @@
   const plan::Instant at = now();
   const std::int64_t wall = wall_ms();
   const std::lock_guard lock(context_.engine_mutex.of(Duty::records));
-  std::set<JobId> there;
-  for (const state::Entry& entry : live.entries) {
-    const auto id = state::job_of_key(entry.key);
-    if (!id) continue;
-    there.insert(*id);
-    context_.engine.on_job_record(*id, entry.data, entry.mark, wall, at);
-  }
-  std::vector<JobId> removed;
-  for (const auto& [id, job] : context_.engine.jobs()) {
-    if (!job.withdrawn && !there.contains(id)) removed.push_back(id);
-  }
-  for (const JobId& id : removed) context_.engine.on_job_removed(id, at);
+  if (!context_.engine.on_job_list(term, live.entries, wall, at)) return;
   context_.engine.confirm_reading(sent);
   context_.follow_from = live.revision;
   context_.plan_signal.raise();
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -38,7 +38,7 @@
   void run(const std::stop_token& stop);
 
  private:
-  void reload(const std::stop_token& stop);
+  void reload(const std::stop_token& stop, Term term);
   Context& context_;
   state::Client client_;
 };
--- a/tests/unit/meetings_test.cpp
+++ b/tests/unit/meetings_test.cpp
@@ -137,5 +137,22 @@
   EXPECT_EQ(engine_.disagreement(), std::nullopt);
 }
 
+// The watch was too far behind, and the whole list was asked for; its answer was held up until the node leads once more. A
+// job that was accepted meanwhile is not in it, and one that is over is.
+TEST_F(Meetings, AListThatAnEarlierLeadReadTellsTheNextOneNothing) {
+  lead(Term(7), Revision(1));
+  wire::JobSpec over = job_of(1);
+  over.id = JobId("j-000009");
+  const std::vector<state::Entry> before{placed(state::live_key(over.id), over, {{kFirst, 1}})};
+  lead(Term(9), Revision(50), {placed(state::live_key(kJob), job_of(1), {{kSecond, 1}})});
+  EXPECT_FALSE(engine_.on_job_list(Term(7), before, 0, now_));
+  EXPECT_FALSE(engine_.jobs().at(kJob).withdrawn) << "an accepted job would never run";
+  EXPECT_FALSE(engine_.jobs().contains(over.id)) << "it is over";
+  // What this lead reads counts.
+  EXPECT_TRUE(engine_.on_job_list(Term(9), before, 0, now_));
+  EXPECT_TRUE(engine_.jobs().at(kJob).withdrawn);
+  EXPECT_TRUE(engine_.jobs().contains(over.id));
+}
+
 }  // namespace
 }  // namespace foxshunt::control
