--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -143,7 +143,18 @@
   }
 
   // stream FROM TO EVERY submit j-000100 ...: like jobs one after the other, numbered on from the first.
+  // stream FROM TO EVERY cancel j-000100 by 4: of such jobs each fourth.
   void read_stream(const Words& words) {
+    if (words.at(4) == "cancel") {
+      unsigned long number = std::stoul(words.at(5).substr(2));
+      for (double at_s = std::stod(words.at(1)); at_s < std::stod(words.at(2)); at_s += std::stod(words.at(3))) {
+        char name[32];
+        std::snprintf(name, sizeof name, "j-%06lu", number);
+        number += std::stoul(words.at(7));
+        world().at(at_s, [this, id = JobId(name)] { world().cancel(id); });
+      }
+      return;
+    }
     Submission submission = read_job(Words(words.begin() + 4, words.end()));
     unsigned long number = std::stoul(submission.spec.id.text().substr(2));
     for (double at_s = std::stod(words.at(1)); at_s < std::stod(words.at(2)); at_s += std::stod(words.at(3))) {
