What a sibling's word tells of a machine's zone shortens no lease again; its test is back

Cause: Engine::lease_over reckoned grants for the zone that a hint told, and Engine::lease_end alone for the seen one: when leases got a second question, its merge with the standby left the hint's guard in the first. With a hint of another zone than the machine's, the grant by which its worker's lease was kept did not count, and its task was taken for gone 8 s too early with the test's spans, hence could start elsewhere while it ran (ran_twice). Both questions ask Engine::granted_until now.

LeadingByHints.ShortenNoLease asks before that, and expects to the millisecond-step when the task is given up: not before the grant's end and a lease, and right after it; without a hint, with one of the machine's zone and with one of another.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -226,6 +226,7 @@
   void forget_machine(const MachineId& id);
   [[nodiscard]] bool usable(const Machine& machine, Instant now) const;
   // Up to when its tasks may run on, if nothing more is heard of it.
+  [[nodiscard]] Instant granted_until(const Machine& machine) const;
   [[nodiscard]] Instant lease_end(const Machine& machine) const;
   // The same, but sooner known.
   [[nodiscard]] bool lease_over(const Machine& machine, Instant now) const;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -38,12 +38,17 @@
   return machines_.usable(machine, now) && settings_.in_service(machine.zone) && zones_.takes_work(machine.zone);
 }
 
+// One that only a sibling's word places in a zone may stand in any: all grants count.
+Instant Engine::granted_until(const Machine& machine) const {
+  return grants_.renewed_until(machine.seen_zone(), machine.id);
+}
+
 Instant Engine::lease_end(const Machine& machine) const {
-  return machines_.lease_end(machine, others_until_, grants_.renewed_until(machine.seen_zone(), machine.id));
+  return machines_.lease_end(machine, others_until_, granted_until(machine));
 }
 
 bool Engine::lease_over(const Machine& machine, Instant now) const {
-  return machines_.lease_over(machine, others_until_, grants_.renewed_until(machine.zone, machine.id), now);
+  return machines_.lease_over(machine, others_until_, granted_until(machine), now);
 }
 
 void Engine::drain(Machine& machine, const std::string& why, Instant now) {
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "control/times.h"
 
 namespace foxshunt::control {
 namespace {
@@ -446,6 +447,38 @@
   EXPECT_TRUE(engine_.machines().empty());
 }
 
+// Neither a lease nor the zone that grants are reckoned for is taken from a sibling's word: whatever is hinted, a task counts
+// until nobody can have renewed its machine's lease, and no longer. The machine stands in zone b, whose controller answers it.
+class LeadingByHints : public Leading, public testing::WithParamInterface<const char*> {};
+TEST_P(LeadingByHints, ShortenNoLease) {
+  lead({placed_on(kSecond, job_of(1))});
+  if (const std::string zone = GetParam(); !zone.empty()) {
+    standby::Machine machine{.address = "127.0.0.1:1", .type = "plain", .zone = zone, .up = true};
+    standby::Picture told = hints(now_);
+    told.facts[0].what = standby::Shared(machine);
+    engine_.hint(told, now_);
+    ASSERT_EQ(engine_.machines().at(kSecond).zone, zone);
+  }
+  engine_.confirm_lease(now_);
+  engine_.confirm_reading(now_);
+  // Asked for before the machine counts as silent, as it would be left out of the grant otherwise.
+  const auto grant = engine_.on_ask(
+      {.node = NodeName("node-1"), .life = 1, .sequence = 1, .term = Term(7), .holds = {}, .uses = {}}, now_);
+  ASSERT_TRUE(grant);
+  ASSERT_TRUE(grant->except.empty());
+  const Instant end = now_ + grant_spans(settings()).bound + lease_span(settings());
+  ASSERT_GT(end, now_ + Millis(20'000) + lease_span(settings())) << "older leaders' reckoning ends before, by lead()";
+  for (const Instant last = end + Millis(2000); now_ < last; now_ += Millis(1000)) {
+    engine_.confirm_lease(now_);
+    engine_.confirm_reading(now_);
+    engine_.tick(now_);
+    ASSERT_EQ(placed(), now_ <= end ? 1U : 0U) << (end - now_).count() << " ms before the lease's end";
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Zones, LeadingByHints, testing::Values("", "a", "b"), [](const auto& info) {
+  return std::string(info.param).empty() ? std::string("NoHint") : "HintOfZone_" + std::string(info.param);
+});
+
 TEST_F(Leading, AHintedZoneAllowsNoTaskOfAJobInOneZone) {
   wire::JobSpec spec = job_of(2);
   spec.one_zone = true;
