--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <functional>
+#include <sstream>
 
 #include "calendar/civil.h"
 #include "standins/world.h"
@@ -297,9 +298,14 @@
 class CatalogDays : public testing::TestWithParam<unsigned> {};
 TEST_P(CatalogDays, SayTheSameEverywhere) { play(GetParam(), static_cast<Kind>(GetParam() % 3), true); }
 
-// For tests/long-days.sh.
+// For tests/long-days.sh: DAYS="FIRST LAST".
 TEST(ManyQuickDays, DISABLED_KeepTheRules) {
-  for (unsigned seed = 101; seed <= 1000; ++seed) {
+  const char* asked = std::getenv("DAYS");
+  std::istringstream words(asked == nullptr ? "101 1000" : asked);
+  unsigned first = 0;
+  unsigned last = 0;
+  ASSERT_TRUE(words >> first >> last && first <= last);
+  for (unsigned seed = first; seed <= last; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     play(seed, Kind::quick);
   }
--- a/tests/scenarios/large_days_test.cpp
+++ b/tests/scenarios/large_days_test.cpp
@@ -156,15 +156,18 @@
 
 TEST(LargeDays, KeepTheRules) { play(1, 150); }
 
-// LONG_DAYS="FIRST LAST SECONDS"
+// DAYS="FIRST LAST SECONDS"
 TEST(LargeDays, DISABLED_Long) {
-  const char* asked = std::getenv("LONG_DAYS");
+  const char* asked = std::getenv("DAYS");
   std::istringstream words(asked == nullptr ? "1 10 900" : asked);
   unsigned first = 0;
   unsigned last = 0;
   int for_s = 0;
-  ASSERT_TRUE(words >> first >> last >> for_s);
-  for (unsigned seed = first; seed <= last; ++seed) play(seed, for_s);
+  ASSERT_TRUE(words >> first >> last >> for_s && first <= last);
+  for (unsigned seed = first; seed <= last; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    play(seed, for_s);
+  }
 }
 
 }  // namespace
