--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -349,7 +349,10 @@
       });
     } else if (verb == "cut_state") {  // of a node
       does([this, words] {
-        world().cut_node_from_state(which(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold");
+        const std::set<std::string> flags(words.begin() + 3, words.end());
+        const std::size_t node = which(words.at(1));
+        world().cut_node_from_state(node, std::stod(words.at(2)), flags.contains("hold"));
+        if (flags.contains("peers")) world().cut_node_from_siblings(node, std::stod(words[2]));
       });
     } else if (verb == "late") {
       const auto name = std::ranges::find_if(kDutyNames, [&](const char* one) { return words.at(1) == one; });
@@ -393,9 +396,18 @@
         world().late_reports(std::stod(words.at(1)), std::stod(words.at(2)),
                              words.size() > 3 && words[3] == "for_next");
       });
-    } else if (verb == "deaf" || verb == "mute") {
+    } else if (verb == "cancel_now") {
+      does([this, words] {
+        world().cancel_now(std::stoul(words.at(1)), words.size() > 3 && words[2] == "hang" ? std::stod(words[3]) : 0);
+      });
+    } else if (verb == "cancel_at_end") {
+      does([this, words] { world().cancel_at_end(std::stod(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "quick_boots") {
+      does([this, words] { world().quick_boots(std::stod(words.at(1))); });
+    } else if (verb == "deaf" || verb == "mute" || verb == "hold_commands") {
       does([this, words, verb] {
         for (const MachineId& id : machines(words)) {
+          if (verb == "hold_commands") world().hold_commands(id, std::stod(words.back()));
           if (verb == "deaf") world().make_deaf(id, std::stod(words.back()));
           if (verb == "mute") world().make_mute(id, std::stod(words.back()));
         }
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -27,7 +27,11 @@
 constexpr double kLateWriteMost = 12;    // s
 constexpr double kLateReportLeast = 2;   // s
 constexpr double kLateReportLeases = 2.5;
-constexpr Millis kWordDelay{4};  // of siblings' words; fixed, so that they change no other day's luck
+constexpr double kCancelsWithin = 0.2;   // s
+constexpr std::size_t kHangingMost = 8;  // machines
+constexpr double kQuickBootLeast = 0.2;  // s
+constexpr double kQuickBootMost = 2;     // s
+constexpr Millis kWordDelay{4};          // of siblings' words; fixed, so that they change no other day's luck
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
 
 }  // namespace
@@ -93,8 +97,13 @@
   return one != other && (cut_zones_.contains(one) || cut_zones_.contains(other));
 }
 
+bool World::apart(std::size_t one, std::size_t other) const {
+  const bool alone = now_ < nodes_[one].alone_until || now_ < nodes_[other].alone_until;
+  return (one != other && alone) || parted(nodes_[one].zone, nodes_[other].zone);
+}
+
 bool World::hears(std::size_t node, std::size_t sibling) const {
-  return !siblings_cut_ && nodes_[node].alive && !parted(nodes_[node].zone, nodes_[sibling].zone);
+  return !siblings_cut_ && nodes_[node].alive && !apart(node, sibling);
 }
 
 double World::control_seconds(Instant when) { return control::to_seconds(when.time_since_epoch()) - 1000; }
@@ -311,7 +320,7 @@
     after(kWordDelay, [this, node, leader, grant, asked, life, given_up] {
       Node& me = nodes_[node];
       if (!me.alive || me.life != life) return;
-      if (parted(me.zone, nodes_[*leader].zone)) return after(constants::kAskLimit, given_up);
+      if (apart(node, *leader)) return after(constants::kAskLimit, given_up);
       const auto take = [this, node, grant, asked, life] {
         Node& holder = nodes_[node];
         if (late(node, Duty::asks)) return false;
@@ -370,7 +379,7 @@
       if (nodes_[node].life != life) return;
       nodes_[node].asking_standby = false;
       const int luck = std::uniform_int_distribution<int>(0, 49)(words_luck_);
-      if (!bytes || luck == 0 || parted(nodes_[node].zone, nodes_[of].zone)) return;
+      if (!bytes || luck == 0 || apart(node, of)) return;
       hear(luck == 1 ? bytes->substr(0, bytes->size() / 2) : *bytes);
       if (luck == 2) hear(*bytes);
       copy_late([bytes, hear] { hear(*bytes); });
@@ -794,7 +803,10 @@
   std::vector<MachineId> rented;
   for (std::size_t i = 0; i < std::min<std::size_t>(most > held ? most - held : 0, request.count); ++i) {
     const double boot_s = supply->type.boot_s * std::uniform_real_distribution<double>(0.6, 1.5)(random_);
-    rented.push_back(add_machine(request.type, request.zone, request.spot, from_seconds(boot_s)));
+    const bool quick = now_ < quick_boots_until_;
+    if (quick) ++struck_["quick_boots"];
+    rented.push_back(add_machine(request.type, request.zone, request.spot,
+                                 from_seconds(quick ? between(kQuickBootLeast, kQuickBootMost) : boot_s)));
   }
   if (!rented.empty()) rentals_[request.request] = rented;
   rented_ += rented.size();
@@ -854,6 +866,7 @@
       if (target.gone || !target.worker->alive) return true;
       if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
       if (!is_heard(node, target)) return true;
+      if (is_held(target)) return false;
       (void)target.worker->direct(term, halt.session, halt.commands, now_);
       target.changed = true;
       copy_late([this, halt, term] {
@@ -1089,9 +1102,16 @@
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
     if (!is_heard(node, target) || target.worker->hung) return;
-    target.reporting = false;
-    target.next_report = now_ + from_seconds(settings_.report_s);
-    target.worker->answer(term, {}, session, sent, now_);
+    const auto hear = [this, id, term, session, sent, node] {
+      Rented& waiting = machines_.at(id);
+      if (is_held(waiting)) return false;
+      if (gave_up(waiting, sent, node)) return true;
+      waiting.reporting = false;
+      waiting.next_report = now_ + from_seconds(settings_.report_s);
+      waiting.worker->answer(term, {}, session, sent, now_);
+      return true;
+    };
+    if (!hear()) repeat(kStep, hear);
   });
   return true;
 }
@@ -1139,29 +1159,52 @@
     }
   }
   const Term term = engine.term();
-  if (parted(nodes_[node].zone, nodes_[via].zone)) return;  // the way back to who passed the report on is cut
+  if (apart(node, via)) return;  // the way back to who passed the report on is cut
   after(delay(), [this, id, commands, term, session = report.session, sent, node = via] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
     if (!is_heard(node, target) || target.worker->hung) return;  // lost, or too late when it goes on
-    target.reporting = false;
     const double jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
-    target.next_report = now_ + from_seconds(settings_.report_s * jitter);
-    if (!commands) {
-      const NodeName& leader = nodes_[node].leader_seen;
-      target.node = (node + 1) % nodes_.size();
-      target.next_report = now_ + Millis(1000);
-      if (const auto other = node_of(leader); other && *other != node) {
-        target.node = *other;
-        target.next_report = now_ + Millis(200);
-      }
-      return;
-    }
-    target.worker->answer(term, *commands, session, sent, now_);
-    if (!commands->empty()) target.next_report = now_ + Millis(500);
+    const auto hear = [this, id, commands, term, session, sent, node, jitter] {
+      Rented& waiting = machines_.at(id);
+      if (is_held(waiting)) return false;
+      if (!gave_up(waiting, sent, node)) hear_answer(waiting, commands, term, session, sent, jitter);
+      return true;
+    };
+    if (!hear()) repeat(kStep, hear);
   });
 }
 
+bool World::is_held(const Rented& machine) {
+  if (now_ >= machine.held_until) return false;
+  ++struck_["hold_commands"];
+  return true;
+}
+
+bool World::gave_up(const Rented& machine, Instant sent, std::size_t node) const {
+  return machine.gone || !machine.worker->alive || !machine.reporting || machine.node != node ||
+         now_ - sent > constants::kReportAnswerLimit;
+}
+
+void World::hear_answer(Rented& machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
+                        SessionNo session, Instant sent, double jitter) {
+  const std::size_t node = machine.node;
+  machine.reporting = false;
+  machine.next_report = now_ + from_seconds(settings_.report_s * jitter);
+  if (!commands) {
+    const NodeName& leader = nodes_[node].leader_seen;
+    machine.node = (node + 1) % nodes_.size();
+    machine.next_report = now_ + Millis(1000);
+    if (const auto other = node_of(leader); other && *other != node) {
+      machine.node = *other;
+      machine.next_report = now_ + Millis(200);
+    }
+    return;
+  }
+  machine.worker->answer(term, *commands, session, sent, now_);
+  if (!commands->empty()) machine.next_report = now_ + Millis(500);
+}
+
 const wire::JobSpec* World::job(const JobId& id) {
   const auto found = submissions_.find(id);
   return found == submissions_.end() ? nullptr : &found->second.spec;
@@ -1182,9 +1225,13 @@
 
 void World::on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& id, bool done) {
   served_.on_gone(task, attempt);
-  if (done) done_.insert(task);
+  const bool completed = done && done_.insert(task).second;
   where_[task].erase(id);
   rules_.on_gone(task, id, done);
+  if (completed && now_ < cancels_at_end_.until && all_done(task.job) && lucky(cancels_at_end_.share)) {
+    ++struck_["cancel_at_end"];
+    cancel(task.job);
+  }
 }
 
 // ---- users ----
@@ -1320,6 +1367,7 @@
     fresh.cut_from_workers = nodes_[node].cut_from_workers;
     fresh.refused_from = nodes_[node].refused_from;
     fresh.refused_until = nodes_[node].refused_until;
+    fresh.alone_until = nodes_[node].alone_until;
     nodes_[node] = std::move(fresh);
     begin_life(node);
     duties(node, nodes_[node].life);
@@ -1502,6 +1550,71 @@
   machine.mute_until = std::max(machine.mute_until, now_ + from_seconds(for_s));
 }
 
+std::optional<Instant> World::runs_until(const JobId& job) const {
+  std::optional<Instant> until;
+  for (auto at = where_.lower_bound({job, 0}); at != where_.end() && at->first.job == job; ++at) {
+    for (const MachineId& id : at->second) {
+      for (const auto& [key, attempt] : machines_.at(id).worker->attempts()) {
+        if (key.first != at->first || attempt.state != wire::TaskState::running) continue;
+        const bool service = attempt.spec.kind == wire::JobKind::service;
+        until = std::max(until.value_or(Instant{}), service ? Instant::max() : *attempt.began + attempt.length);
+      }
+    }
+  }
+  return until;
+}
+
+bool World::all_done(const JobId& job) const {
+  const std::uint32_t tasks = submissions_.at(job).spec.tasks;
+  return std::distance(done_.lower_bound({job, 0}), done_.lower_bound({job, tasks})) == tasks;
+}
+
+void World::cancel_now(std::size_t count, double hang_s) {
+  trouble(hang_s);
+  std::vector<std::pair<Instant, JobId>> running;
+  for (const JobId& id : accepted_) {
+    if (cancelled_.contains(id)) continue;
+    if (const auto until = runs_until(id)) running.emplace_back(*until, id);
+  }
+  std::ranges::sort(running, std::greater{});
+  running.resize(std::min(count, running.size()));
+  std::vector<MachineId> theirs;
+  for (const auto& [unused, id] : running) {
+    ++struck_["cancel_now"];
+    after(from_seconds(between(0, kCancelsWithin)), [this, id = id] { cancel(id); });
+    for (auto at = where_.lower_bound({id, 0}); at != where_.end() && at->first.job == id; ++at) {
+      theirs.insert(theirs.end(), at->second.begin(), at->second.end());
+    }
+  }
+  std::ranges::sort(theirs);
+  theirs.erase(std::ranges::unique(theirs).begin(), theirs.end());
+  std::shuffle(theirs.begin(), theirs.end(), troubles_luck_);
+  theirs.resize(hang_s > 0 ? std::min(kHangingMost, theirs.size()) : 0);
+  for (const MachineId& id : theirs) hang(id, hang_s);
+}
+
+void World::cancel_at_end(double share, double for_s) {
+  trouble(for_s);
+  cancels_at_end_ = {.share = share, .until = now_ + from_seconds(for_s)};
+}
+
+void World::cut_node_from_siblings(std::size_t node, double for_s) {
+  trouble(for_s);
+  Instant& until = nodes_[node].alone_until;
+  until = std::max(until, now_ + from_seconds(for_s));
+}
+
+void World::hold_commands(const MachineId& id, double for_s) {
+  trouble(for_s);
+  Instant& until = machines_.at(id).held_until;
+  until = std::max(until, now_ + from_seconds(for_s));
+}
+
+void World::quick_boots(double for_s) {
+  trouble(for_s);
+  quick_boots_until_ = now_ + from_seconds(for_s);
+}
+
 std::vector<MachineId> World::some_machines(double share) {
   std::vector<MachineId> names = machine_names();
   std::shuffle(names.begin(), names.end(), troubles_luck_);
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -103,6 +103,17 @@
   void make_deaf(const MachineId& machine, double for_s);
   // It opens no connection to a controller; direct commands reach it.
   void make_mute(const MachineId& machine, double for_s);
+  // So many of the running jobs, those first that have longest to go, are called off within a fifth of a second; up to
+  // eight of their machines hang for so long.
+  void cancel_now(std::size_t count, double hang_s);
+  // That share of the jobs whose last task completes is called off at that moment.
+  void cancel_at_end(double share, double for_s);
+  // Neither hears siblings nor is heard by them.
+  void cut_node_from_siblings(std::size_t node, double for_s);
+  // Direct commands and answers of reports arrive there when it is over; a worker has then given up most reports.
+  void hold_commands(const MachineId& machine, double for_s);
+  // Machines that are rented meanwhile are up in under two seconds.
+  void quick_boots(double for_s);
   // That share of the machines that are up, and those of a zone.
   [[nodiscard]] std::vector<MachineId> some_machines(double share);
   [[nodiscard]] std::vector<MachineId> machines_in(const std::string& zone) const;
@@ -191,6 +202,7 @@
     bool cut_from_workers = false;
     Instant refused_from;  // by the state service
     Instant refused_until;
+    Instant alone_until;  // without siblings
     state::LeaseId lease;
     Revision follow_from;
     NodeName leader_seen;
@@ -239,12 +251,17 @@
     bool changed = false;
     Instant deaf_until;
     Instant mute_until;
+    Instant held_until;  // what is sent to it
   };
   struct LateWrites {
     double share = 0;
     Instant until;
     bool at_once = false;
   };
+  struct CancelsAtEnd {
+    double share = 0;
+    Instant until;
+  };
   struct LateReports {
     double share = 0;
     Instant until;
@@ -277,6 +294,9 @@
   void hear_copy(std::size_t node, const wire::Report& report);
   void copy_report(const wire::Report& report);
   void on_new_leader();
+  // When the job's running tasks end; nothing if none runs.
+  [[nodiscard]] std::optional<Instant> runs_until(const JobId& job) const;
+  [[nodiscard]] bool all_done(const JobId& job) const;
   [[nodiscard]] bool late(std::size_t node, Duty duty) const;
   void peer_duty(std::size_t node);
   void ask_duty(std::size_t node);
@@ -286,6 +306,8 @@
   [[nodiscard]] config::Settings settings_of(std::size_t node) const;
   void begin_life(std::size_t node);
   [[nodiscard]] bool parted(const std::string& one, const std::string& other) const;
+  // Of nodes.
+  [[nodiscard]] bool apart(std::size_t one, std::size_t other) const;
   [[nodiscard]] bool hears(std::size_t node, std::size_t sibling) const;
   // With what the node itself was granted; false if that is nothing.
   bool answer_by_grant(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node,
@@ -317,6 +339,11 @@
   [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
   // What a node sends to it, be it an answer or a command.
   [[nodiscard]] bool is_heard(std::size_t node, const Rented& machine);
+  [[nodiscard]] bool is_held(const Rented& machine);
+  // Whether the worker waits no longer for the node's answer to what it sent then.
+  [[nodiscard]] bool gave_up(const Rented& machine, Instant sent, std::size_t node) const;
+  void hear_answer(Rented& machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
+                   SessionNo session, Instant sent, double jitter);
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
   [[nodiscard]] std::vector<wire::MachineType> types() const;
   [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
@@ -351,6 +378,8 @@
   bool late_copies_ = false;
   LateWrites late_writes_;
   LateReports late_reports_;
+  CancelsAtEnd cancels_at_end_;
+  Instant quick_boots_until_;
   std::vector<wire::Report> reports_for_next_;  // copies that wait for the next leader
   std::map<std::string, std::size_t> struck_;
   std::multimap<Moment, double> crashes_during_;
