--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "config/constants.h"
+#include "config/guards.h"
 #include "control/engine.h"
 #include "control/times.h"
 
@@ -40,7 +41,8 @@
 
 // One that only a sibling's word places in a zone may stand in any: all grants count.
 Instant Engine::granted_until(const Machine& machine) const {
-  return grants_.renewed_until(machine.seen_zone(), machine.id);
+  const std::string zone = guards::kept(guards::Guard::lease_zone_seen) ? machine.seen_zone() : machine.zone;
+  return grants_.renewed_until(zone, machine.id);
 }
 
 Instant Engine::lease_end(const Machine& machine) const {
