--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -1224,21 +1224,14 @@
 }
 
 void World::on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& id, bool done) {
-<<<<<<< HEAD
   served_.on_gone(task, attempt, now_);
-  if (done) done_.insert(task);
-  where_[task].erase(id);
-  rules_.on_gone(task, id, done, now_);
-=======
-  served_.on_gone(task, attempt);
   const bool completed = done && done_.insert(task).second;
   where_[task].erase(id);
-  rules_.on_gone(task, id, done);
+  rules_.on_gone(task, id, done, now_);
   if (completed && now_ < cancels_at_end_.until && all_done(task.job) && lucky(cancels_at_end_.share)) {
     ++struck_["cancel_at_end"];
     cancel(task.job);
   }
->>>>>>> 78345728823325a52923bcba21779f1c778cdf94
 }
 
 // ---- users ----
