The stand-in of the state service refuses one controller

The meeting of a refusal and an outage could not be brought about among real processes: the stand-in refused one address only, ended open watches with 503, let no lease end without a request, and let all leases end after an outage. Now each controller has an address of its own; open watches hang on; leases end by the clock, not in an outage, and have their full time again after it. Answers to transactions can be lost, and transactions carried out late, after newer ones.

Its workers go where a 421 sends them, try the next node after 1 s, keep their leases while a report waits for its answer, drop an answer that comes after the lease's end, and record what was on which machine from when to when and which answers renewed leases. They can be cut from a node, nodes from each other, and processes frozen.

--- a/tests/cluster/local_cluster.cpp
+++ b/tests/cluster/local_cluster.cpp
@@ -23,6 +23,9 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kLinkConnectLimit{500};
+constexpr std::chrono::milliseconds kLinkLimit{3000};  // longer than any node waits for another
+
 // A port of the kernel's choice. The socket is bound but doesn't listen, so a process may listen there as often as it
 // is started, and no connection or other test gets the port meanwhile. One run in 32 side by side failed by that.
 net::Socket hold_port() {
@@ -49,45 +52,48 @@
 
 }  // namespace
 
-LocalCluster::LocalCluster(std::size_t nodes, bool outside, const NodeSize& size, std::function<bool()> logs_wanted)
-    : logs_wanted_(std::move(logs_wanted)), pids_(nodes, 0) {
+LocalCluster::LocalCluster(std::size_t nodes, bool outside, const NodeSize& size, std::function<bool()> logs_wanted,
+                           const Surroundings& around)
+    : logs_wanted_(std::move(logs_wanted)), state_(1000, nodes), pids_(nodes, 0), cut_(nodes) {
   std::string pattern = (std::filesystem::temp_directory_path() / "foxshunt-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
-  std::vector<net::Address> peers;
   for (std::size_t node = 0; node < nodes; ++node) {
     ports_.push_back(hold_port());
     addresses_.push_back(net::local_address(ports_.back()));
     ports_.push_back(hold_port());
-    peers.push_back(net::local_address(ports_.back()));
+    peers_.push_back(net::local_address(ports_.back()));
   }
   ports_.push_back(hold_port());
   const std::string nobody = net::local_address(ports_.back()).text();
-  cloud_ = std::make_unique<standins::HttpCloud>(addresses_, 0.5, 5);
+  cloud_ = std::make_unique<standins::HttpCloud>(addresses_, around.report_s, around.lease_s);
   for (std::size_t node = 0; node < nodes; ++node) {
     json siblings = json::array();
     for (std::size_t other = 0; other < nodes; ++other) {
       if (other == node) continue;
+      const net::Address endpoint = around.links ? link(node, other) : peers_[other];
       siblings.push_back(
-          {{"host_name", "node-" + std::to_string(other)}, {"zone", "a"}, {"endpoint", peers[other].text()}});
+          {{"host_name", "node-" + std::to_string(other)}, {"zone", "a"}, {"endpoint", endpoint.text()}});
     }
     const json deploy = {
         {"host_name", "node-" + std::to_string(node)},
         {"zone", "a"},
         {"bind", addresses_[node].text()},
-        {"peer_listen", peers[node].text()},
+        {"peer_listen", peers_[node].text()},
         {"siblings", siblings},
         {"outside",
          {{"cloud", outside ? cloud_->address().text() : nobody},
-          {"state", (!outside    ? nobody
-                     : node == 0 ? state_.side_address().text()
-                                 : state_.address().text())}}},
+          {"state", outside ? state_.address_of(node).text() : nobody}}},
         {"params",
          {{"nodes", nodes},
           {"zones", {"a"}},
           {"teams", {{{"name", "red"}, {"cpus", 8.0}, {"cpus_max", 16.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}}},
           {"objectives", json::array()},
           {"workers",
-           {{"report_s", 0.5}, {"lease_s", 5.0}, {"gang_wait_s", 10.0}, {"gang_peer_s", 2.0}, {"cancel_s", 20.0}}},
+           {{"report_s", around.report_s},
+            {"lease_s", around.lease_s},
+            {"gang_wait_s", 10.0},
+            {"gang_peer_s", 2.0},
+            {"cancel_s", around.cancel_s}}},
           {"state", {{"rps", 400.0}, {"write_rps", 100.0}, {"value_kb", 8.0}, {"txn_ops", 24}}},
           {"cloud", {{"rps", 20.0}, {"list_lag_s", 0.0}}},
           {"limits", {{"cpu", 1.0}, {"ram_mb", size.ram_mb}, {"max_connections", size.sockets}}},
@@ -106,6 +112,23 @@
   std::filesystem::remove_all(folder_);
 }
 
+net::Address LocalCluster::link(std::size_t from, std::size_t to) {
+  auto& server = links_[from * pids_.size() + to];
+  server = std::make_unique<net::HttpServer>(
+      net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 100}, [this, from, to](const auto& request) {
+        std::optional<net::HttpResponse> answer;
+        if (!cut_[from] && !cut_[to]) {
+          net::HttpClient client(peers_[to], kLinkConnectLimit);
+          answer = client.call(request, net::Clock::now() + kLinkLimit);
+        }
+        if (cut_[from] || cut_[to]) answer.reset();
+        return answer.value_or(net::HttpResponse{.status = 504, .body = {}, .retry_after_s = {}});
+      });
+  return server->address();
+}
+
+void LocalCluster::cut_from_nodes(std::size_t node, bool is_cut) { cut_[node] = is_cut; }
+
 void LocalCluster::set_operators(const std::string& xml) { std::ofstream(folder_ / "operators.xml") << xml; }
 
 void LocalCluster::start(std::size_t node) {
@@ -135,6 +158,14 @@
   pids_[node] = 0;
 }
 
+void LocalCluster::freeze(std::size_t node) const {
+  ::kill(pids_[node], SIGSTOP);
+  siginfo_t stopped{};
+  ::waitid(P_PID, static_cast<id_t>(pids_[node]), &stopped, WSTOPPED | WEXITED | WNOWAIT);
+}
+
+void LocalCluster::go_on(std::size_t node) const { ::kill(pids_[node], SIGCONT); }
+
 bool LocalCluster::up(std::size_t node) const {
   net::HttpClient client(addresses_[node], std::chrono::milliseconds(500));
   const auto answer =
--- a/tests/standins/http_world.cpp
+++ b/tests/standins/http_world.cpp
@@ -1,7 +1,7 @@
 #include "standins/http_world.h"
 
 #include <algorithm>
-#include <sstream>
+#include <utility>
 
 #include "control/times.h"
 
@@ -16,6 +16,9 @@
 Instant now() { return std::chrono::floor<Millis>(net::Clock::now()); }
 
 constexpr Millis kGangWait{10'000};  // as the deployments of the smoke tests say
+constexpr Millis kTurn{20};          // between two looks at the clock
+constexpr Millis kNoAnswer{2'500};   // longer than any controller waits for an answer of the state service
+constexpr Millis kNextNode{1'000};   // PROTOCOL: a worker tries the next node after it
 
 HttpResponse reply(int status, const Value& body) {
   return {.status = status, .body = wire::encode(body), .retry_after_s = {}};
@@ -25,13 +28,36 @@
 
 // ---- state ----
 
-HttpState::HttpState(std::size_t page)
-    : page_(page),
-      server_(std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 200},
-                                                [this](const HttpRequest& request) { return receive(request, out_); })),
-      side_server_(std::make_unique<net::HttpServer>(
-          net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 200},
-          [this](const HttpRequest& request) { return receive(request, side_out_); })) {}
+HttpState::HttpState(std::size_t page, std::size_t controllers) : page_(page) {
+  for (std::size_t i = 0; i <= controllers; ++i) {
+    Door& door = doors_.emplace_back();
+    door.server =
+        std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 200},
+                                          [this, &door](const HttpRequest& request) { return receive(request, door); });
+  }
+  expiry_ = std::jthread([this](const std::stop_token& stop) { end_leases(stop); });
+}
+
+HttpState::~HttpState() {
+  {
+    const std::lock_guard lock(mutex_);
+    closing_ = true;
+    changed_.notify_all();
+  }
+  for (Door& door : doors_) door.server.reset();
+}
+
+void HttpState::end_leases(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    {
+      const std::lock_guard lock(mutex_);
+      const Revision before = store_.revision();
+      if (!out_) store_.expire(now());
+      if (store_.revision() != before) changed_.notify_all();
+    }
+    std::this_thread::sleep_for(kTurn);
+  }
+}
 
 void HttpState::put(const std::string& key, const Value& data) {
   const std::lock_guard lock(mutex_);
@@ -42,12 +68,33 @@
 
 void HttpState::set_out(bool out) {
   const std::lock_guard lock(mutex_);
-  out_ = side_out_ = out;
+  if (out_ && !out) store_.renew_all(now());
+  out_ = out;
+  changed_.notify_all();
+}
+
+void HttpState::refuse(std::size_t controller, bool refused) {
+  const std::lock_guard lock(mutex_);
+  doors_.at(controller + 1).refused = refused;
+  changed_.notify_all();
 }
 
-void HttpState::set_side_out(bool out) {
+Instant HttpState::served(std::size_t controller) {
   const std::lock_guard lock(mutex_);
-  side_out_ = out;
+  return door(controller).served;
+}
+
+void HttpState::end_holds() {
+  std::unique_lock lock(mutex_);
+  const std::uint64_t before = holds_ended_++;
+  changed_.notify_all();
+  changed_.wait(lock, [&] { return watches_.empty() || watches_.begin()->first > before; });
+}
+
+void HttpState::set_fate(std::function<Fate(const HttpRequest&)> fate, Millis late_by) {
+  const std::lock_guard lock(mutex_);
+  fate_ = std::move(fate);
+  late_by_ = late_by;
 }
 
 std::vector<std::string> HttpState::asked() {
@@ -55,18 +102,28 @@
   return asked_;
 }
 
-HttpResponse HttpState::follow(const std::map<std::string, std::string>& query, const bool& out) {
+HttpResponse HttpState::follow(const std::map<std::string, std::string>& query, Door& door) {
   const Revision from(std::stoull(query.at("from")));
   const std::string& prefix = query.at("starts");
+  const auto until = net::Clock::now() + Millis(std::stoll(query.at("holdMs")));
   std::unique_lock lock(mutex_);
+  if (out(door)) return {.status = 503, .body = {}, .retry_after_s = {}};
+  const std::uint64_t holds_ended = holds_ended_;
+  ++watches_[holds_ended];
   state::FollowResult news;
-  if (!out) {
-    changed_.wait_for(lock, Millis(std::stoll(query.at("holdMs"))), [&] {
-      news = store_.follow(prefix, from);
-      return !out && !news.events.empty();
-    });
+  while (!closing_) {
+    if (out(door)) {  // whatever it was asked for, it waits for the end of that
+      changed_.wait(lock);
+      continue;
+    }
+    news = store_.follow(prefix, from);
+    if (!news.events.empty() || net::Clock::now() >= until || holds_ended_ != holds_ended) break;
+    changed_.wait_until(lock, until);
   }
-  if (out) return {.status = 503, .body = {}, .retry_after_s = {}};  // the service would leave open watches open
+  if (--watches_[holds_ended] == 0) watches_.erase(holds_ended);
+  changed_.notify_all();
+  if (closing_) return {.status = 503, .body = {}, .retry_after_s = {}};
+  door.served = now();
   Value::List list;
   for (const state::Event& event : news.events) {
     if (event.data) {
@@ -83,21 +140,37 @@
   between_ = std::move(between);
 }
 
-HttpResponse HttpState::receive(const HttpRequest& request, const bool& out) {
+HttpResponse HttpState::receive(const HttpRequest& request, Door& door) {
   Between between;
   {
     const std::lock_guard lock(mutex_);
     between = between_;
   }
-  if (!between) return handle(request, out);
-  return between(request, [this, &out](const HttpRequest& passed) { return handle(passed, out); });
+  if (!between) return judge(request, door);
+  return between(request, [this, &door](const HttpRequest& passed) { return judge(passed, door); });
 }
 
-HttpResponse HttpState::handle(const HttpRequest& request, const bool& out) {
+HttpResponse HttpState::judge(const HttpRequest& request, Door& door) {
+  Fate fate = Fate::answered;
+  if (request.path == "/txn") {
+    std::unique_lock lock(mutex_);
+    if (fate_ && !out(door)) fate = fate_(request);
+    if (fate == Fate::late) changed_.wait_for(lock, late_by_, [this] { return closing_; });
+  }
+  // What is late by now comes from nobody in particular: a controller that is refused meanwhile had sent it before.
+  HttpResponse answer = handle(request, fate == Fate::late ? doors_.front() : door);
+  if (fate == Fate::answered) return answer;
+  std::unique_lock lock(mutex_);
+  if (fate == Fate::lost) changed_.wait_for(lock, kNoAnswer, [this] { return closing_; });
+  return {.status = 500, .body = {}, .retry_after_s = {}};  // to nobody: whoever asked has given up
+}
+
+HttpResponse HttpState::handle(const HttpRequest& request, Door& door) {
   const std::string& path = request.path;
-  if (path == "/follow") return follow(request.query, out);
+  if (path == "/follow") return follow(request.query, door);
   const std::lock_guard lock(mutex_);
-  if (out) return {.status = 503, .body = {}, .retry_after_s = {}};
+  if (out(door)) return {.status = 503, .body = {}, .retry_after_s = {}};
+  door.served = now();
   asked_.push_back(path == "/kv" ? "list " + request.query.at("starts") : request.method + " " + path);
   store_.expire(now());
   changed_.notify_all();
@@ -165,7 +238,7 @@
 HttpCloud::HttpCloud(std::vector<net::Address> nodes, double report_s, double lease_s)
     : nodes_(std::move(nodes)),
       report_s_(report_s),
-      lease_s_(lease_s),
+      lease_(control::from_seconds(lease_s)),
       type_{.name = "plain",
             .cpus = 8,
             .ram_gb = 32,
@@ -176,9 +249,12 @@
             .boot_s = 0.2,
             .zones = {"a"}},
       server_(std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 50},
-                                                [this](const HttpRequest& request) { return receive(request); })) {}
+                                                [this](const HttpRequest& request) { return receive(request); })),
+      clock_([this](const std::stop_token& stop) { pass_time(stop); }) {}
 
 HttpCloud::~HttpCloud() {
+  clock_.request_stop();
+  clock_.join();
   server_.reset();
   std::map<MachineId, Machine> rest;
   {
@@ -198,6 +274,47 @@
   return starts_;
 }
 
+void HttpCloud::cut(std::size_t node, bool is_cut) {
+  const std::lock_guard lock(mutex_);
+  if (is_cut) {
+    cut_.insert(node);
+  } else {
+    cut_.erase(node);
+  }
+}
+
+void HttpCloud::finish(const JobId& job) {
+  const std::lock_guard lock(mutex_);
+  for (auto& [unused, machine] : machines_) {
+    for (auto& [key, attempt] : machine.worker->attempts()) {
+      if (key.first.job == job) attempt.length = {};
+    }
+  }
+}
+
+std::vector<HttpCloud::Stay> HttpCloud::stays(const JobId& job) {
+  const std::lock_guard lock(mutex_);
+  std::vector<Stay> found;
+  for (Stay stay : stays_) {
+    if (stay.task.job != job) continue;
+    const Instant lease_end = machines_.at(stay.machine).lease_from + lease_;
+    if (!stay.until && now() > lease_end) stay.until = lease_end;
+    found.push_back(std::move(stay));
+  }
+  return found;
+}
+
+std::vector<HttpCloud::Renewal> HttpCloud::renewals() {
+  const std::lock_guard lock(mutex_);
+  return renewals_;
+}
+
+std::size_t HttpCloud::under_way(std::size_t node) {
+  const std::lock_guard lock(mutex_);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(machines_, [&](const auto& entry) { return entry.second.asks == node; }));
+}
+
 const wire::JobSpec* HttpCloud::job(const JobId& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second.first;
@@ -205,14 +322,18 @@
 
 Millis HttpCloud::run_left(const TaskKey& task) { return control::from_seconds(jobs_.at(task.job).second); }
 
-void HttpCloud::on_started(const TaskKey& task, AttemptNo, const MachineId& machine) {
+void HttpCloud::on_started(const TaskKey& task, AttemptNo attempt, const MachineId& machine) {
   ++starts_;
+  stays_.push_back({.task = task, .attempt = attempt, .machine = machine, .from = passing_, .until = {}});
   if (!on_[task].empty() && !on_[task].contains(machine)) ++ran_twice_;
   on_[task].insert(machine);
 }
 
-void HttpCloud::on_gone(const TaskKey& task, AttemptNo, const MachineId& machine, bool done) {
+void HttpCloud::on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& machine, bool done) {
   on_[task].erase(machine);
+  for (Stay& stay : stays_) {
+    if (!stay.until && stay.task == task && stay.attempt == attempt && stay.machine == machine) stay.until = passing_;
+  }
   if (done) done_.insert(task);
 }
 
@@ -254,6 +375,7 @@
       const auto found = machines_.find(id);
       if (found == machines_.end()) continue;
       found->second.gone = true;
+      advance(found->second, now());
       found->second.worker->kill(now());
       found->second.thread.request_stop();
     }
@@ -270,8 +392,8 @@
         machine.zone = body.text("covert");
         machine.spot = body.flag("strays");
         machine.rented = now();
-        machine.worker = std::make_unique<Worker>(id, type_, machine.zone, machine.spot,
-                                                  control::from_seconds(lease_s_), *this, now());
+        machine.worker = std::make_unique<Worker>(id, type_, machine.zone, machine.spot, lease_, *this, machine.rented);
+        machine.lease_from = machine.rented;
         machine.worker->gang_wait = kGangWait;
         machine.worker->gang_ready = [this](const JobId& job_id, AttemptNo attempt) { return ready(job_id, attempt); };
         machine.thread = std::jthread([this, id](const std::stop_token& stop) { live(stop, id); });
@@ -294,6 +416,35 @@
   return reply(200, Value::Map{{"dens", std::move(list)}, {"more", false}});
 }
 
+void HttpCloud::advance(Machine& machine, Instant at) {
+  // What the lease ends is gone at its end, also when the stand-in comes to it later.
+  passing_ = std::min(at, machine.lease_from + lease_);
+  const SessionNo session = machine.worker->session();
+  if (machine.worker->advance(at)) machine.changed = true;
+  if (machine.worker->session() != session) machine.lease_from = at;
+  passing_ = at;
+}
+
+void HttpCloud::pass_time(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    std::this_thread::sleep_for(kTurn);
+    const std::lock_guard lock(mutex_);
+    for (auto& [unused, machine] : machines_) {
+      if (!machine.gone) advance(machine, now());
+    }
+  }
+}
+
+std::optional<std::size_t> HttpCloud::node_named(const HttpResponse& answer) const {
+  if (answer.status != 421) return std::nullopt;
+  const Value body = wire::decode(answer.body);
+  const std::string* name = body["vixen"].as_text();
+  for (std::size_t node = 0; name != nullptr && node < nodes_.size(); ++node) {
+    if (*name == "node-" + std::to_string(node)) return node;
+  }
+  return std::nullopt;
+}
+
 void HttpCloud::live(const std::stop_token& stop, const MachineId& id) {
   std::size_t node = 0;
   auto client = std::make_unique<net::HttpClient>(nodes_[node], Millis(500));
@@ -303,31 +454,49 @@
   };
   Instant next_report = now();
   while (!stop.stop_requested()) {
-    std::this_thread::sleep_for(Millis(20));
+    std::this_thread::sleep_for(kTurn);
     wire::Report report;
+    Instant sent;
+    bool is_cut = false;
     {
       const std::lock_guard lock(mutex_);
       const auto found = machines_.find(id);
       if (found == machines_.end() || found->second.gone) return;
-      if (found->second.worker->advance(now())) next_report = std::min(next_report, now() + Millis(100));
+      Machine& machine = found->second;
+      if (std::exchange(machine.changed, false)) next_report = std::min(next_report, now() + Millis(100));
       if (now() < next_report) continue;
-      report = found->second.worker->report();
+      sent = now();
+      advance(machine, sent);
+      machine.changed = false;
+      report = machine.worker->report();
+      machine.asks = node;
+      is_cut = cut_.contains(node);
+    }
+    std::optional<HttpResponse> answer;
+    if (!is_cut) {
+      answer = client->call({.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))},
+                            net::Clock::now() + Millis(4000));
     }
-    const Instant sent = now();
-    const auto answer =
-        client->call({.method = "POST", .path = "/checkin", .body = wire::encode(wire::to_value(report))},
-                     net::Clock::now() + Millis(4000));
     next_report = now() + control::from_seconds(report_s_);
+    const std::lock_guard lock(mutex_);
+    const auto found = machines_.find(id);
+    if (found == machines_.end() || found->second.gone) return;
+    Machine& machine = found->second;
+    machine.asks.reset();
+    if (cut_.contains(node)) answer.reset();
     if (!answer || answer->status != 200) {
-      turn_to((node + 1) % nodes_.size());
-      next_report = now() + Millis(200);
+      const auto named = answer ? node_named(*answer) : std::nullopt;
+      const bool elsewhere = named && *named != node;
+      turn_to(elsewhere ? *named : (node + 1) % nodes_.size());
+      next_report = elsewhere ? now() : now() + kNextNode;
       continue;
     }
     const Value body = wire::decode(answer->body);
-    const std::lock_guard lock(mutex_);
-    const auto found = machines_.find(id);
-    if (found == machines_.end() || found->second.gone) return;
-    found->second.worker->answer(Term(body.count("alpha")), wire::commands_from(body), report.session, sent, now());
+    const Term term(body.count("alpha"));
+    advance(machine, now());  // a lease that has ended meanwhile is not renewed any more
+    if (!machine.worker->answer(term, wire::commands_from(body), report.session, sent, passing_)) continue;
+    machine.lease_from = std::max(machine.lease_from, sent);
+    renewals_.push_back({.machine = id, .node = node, .term = term, .sent = sent});
   }
 }
 
