Tests of pools, books and the calendar that were eased are as strict as they were

- Pools.NoCrashRentsTwiceOrLosesAMachine: twelve writes are crashed in again, nine since.
- Pools.RefusalsAreRememberedWithAGrowingPauseOverCrashes: the first pause of 30 s is expected again; it is over within the minute after which the test looked, which looks each second now.
- Pools.TheCeilingShrinksThePoolToWhatIsInUse: within 40 minutes again, 60 since.
- CalendarDay.StepsAreWrittenSeldom: 21 writes again for plans that are in time; the 42 of only for those that are not.
- PoolBurst: a leader lost before the burst is played again, gone since, and the last waits of warm and cold are compared under each trouble, by a fifth and by 35 s.

--- a/tests/scenarios/pools_test.cpp
+++ b/tests/scenarios/pools_test.cpp
@@ -65,7 +65,7 @@
 }
 
 // What goes wrong in a burst.
-enum class Trouble { none, leader, all };
+enum class Trouble { none, leader, leader_before, all };
 
 struct Burst {
   double first_s = 0;  // waits of its first six tasks
@@ -86,8 +86,11 @@
   pool.windows.push_back({.time_zone = "UTC"});
   world.declare_pools({pool});
   if (warm > 0) world.at(60, [&world, warm] { world.submit(job_of("j-000001", warm, "warm", 1)); });
-  // A leader is lost in the burst, when its tasks are on their way; all controllers are just before it.
-  if (trouble == Trouble::leader) world.at(kBurst + 0.2, [&world] { world.crash(world.leader().value_or(0), 20); });
+  // A leader is lost in the burst, when its tasks are on their way, or just before it; or all controllers are.
+  if (trouble == Trouble::leader || trouble == Trouble::leader_before) {
+    world.at(trouble == Trouble::leader ? kBurst + 0.2 : kBurst - 3,
+             [&world] { world.crash(world.leader().value_or(0), 20); });
+  }
   if (trouble == Trouble::all) {
     world.at(kBurst - 3, [&world] {
       for (std::size_t node = 0; node < 3; ++node) world.crash(node, 2);
@@ -124,10 +127,11 @@
 // it takes of cold and warm alike.
 TEST(PoolBurst, WaitsAFifthOfColdOnAWarmPoolAtMost) {
   spdlog::set_level(spdlog::level::off);
-  for (const Trouble trouble : {Trouble::none, Trouble::leader, Trouble::all}) {
-    const char* const name = trouble == Trouble::none     ? "none"
-                             : trouble == Trouble::leader ? "leader lost in the burst"
-                                                          : "all lost 3 s before";
+  for (const Trouble trouble : {Trouble::none, Trouble::leader, Trouble::leader_before, Trouble::all}) {
+    const char* const name = trouble == Trouble::none            ? "none"
+                             : trouble == Trouble::leader        ? "leader lost in the burst"
+                             : trouble == Trouble::leader_before ? "leader lost 3 s before"
+                                                                 : "all lost 3 s before";
     SCOPED_TRACE(name);
     std::map<std::uint32_t, Burst> by_warm;
     for (const std::uint32_t warm : {0U, 3U, kFirst}) {
@@ -144,9 +148,8 @@
     EXPECT_LT(half.mean_s, cold.mean_s);
     EXPECT_LE(warm.first_s * 5, cold.first_s);
     EXPECT_LE(warm.mean_s * 5, cold.mean_s);
-    if (trouble == Trouble::none) {
-      EXPECT_LE(warm.last_s * 5, cold.last_s);
-    }
+    EXPECT_LE(warm.last_s * 5, cold.last_s);
+    EXPECT_LE(warm.last_s + 35, cold.last_s) << "the fetch, whatever an election takes";
     EXPECT_LT(warm.in_use_s, cold.in_use_s) << "machines that fetch are in use, too";
   }
 }
@@ -173,8 +176,7 @@
     job.spec.cpus = 1 + below(8);
     if (below(2) == 0) {
       job.spec.image = "other-" + std::to_string(below(4));
-      // A gang whose machines differ by more than gang_wait_s in what they have to fetch never gathers (docs/design/pools.md).
-      job.spec.image_gb = 1 + below(20);
+      job.spec.image_gb = 1 + below(60);
       job.spec.team = "blue";
     }
     if (below(5) == 0) job.spec.kind = wire::JobKind::gang;
--- a/tests/unit/books_test.cpp
+++ b/tests/unit/books_test.cpp
@@ -411,7 +411,7 @@
   EXPECT_EQ(books_.team_use("blue"), Amounts{});
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RandomBook, testing::Range(1U, 9U));
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomBook, testing::Range(1U, 13U));
 
 }  // namespace
 }  // namespace foxshunt::work
--- a/tests/unit/calendar_test.cpp
+++ b/tests/unit/calendar_test.cpp
@@ -951,21 +951,25 @@
 }
 
 TEST(CalendarDay, StepsAreWrittenSeldom) {
-  Day day(3, kDue - 130 * kMinute);
-  day.declare(entry_of("dawn"));
-  for (int job = 0; job < 20; ++job) day.submit("j-" + std::to_string(100000 + job), "dawn", kDue - 100 * kMinute);
-  std::mt19937 dice(3);
-  day.plan = [&](std::int64_t now) {
-    std::map<JobId, Keeper::Plan> ends;
-    for (int job = 0; job < 20; ++job)
-      ends[JobId("j-" + std::to_string(100000 + job))].end_ms = now + dice() % (2 * kHour);
-    return ends;
-  };
-  day.until(kDue - 95 * kMinute);
-  const int before = day.writes;
-  day.until(kDue - 75 * kMinute);
-  EXPECT_GT(day.writes, before);
-  EXPECT_LE(day.writes - before, 2 * 21);  // steps, and that it is at risk again
+  // Ends up to an hour ahead are all in time: steps alone are written. Of those up to two hours ahead some are not, and that
+  // it is at risk again is written, too.
+  for (const auto& [ahead, writes_most] : {std::pair(kHour, 21), std::pair(2 * kHour, 2 * 21)}) {
+    SCOPED_TRACE(ahead);
+    Day day(3, kDue - 130 * kMinute);
+    day.declare(entry_of("dawn"));
+    for (int job = 0; job < 20; ++job) day.submit("j-" + std::to_string(100000 + job), "dawn", kDue - 100 * kMinute);
+    std::mt19937 dice(3);
+    day.plan = [&dice, ahead = ahead](std::int64_t now) {
+      std::map<JobId, Keeper::Plan> ends;
+      for (int job = 0; job < 20; ++job) ends[JobId("j-" + std::to_string(100000 + job))].end_ms = now + dice() % ahead;
+      return ends;
+    };
+    day.until(kDue - 95 * kMinute);
+    const int before = day.writes;
+    day.until(kDue - 75 * kMinute);
+    EXPECT_GT(day.writes, before);
+    EXPECT_LE(day.writes - before, writes_most);
+  }
 }
 
 TEST(CalendarDay, EntriesRemovedChangedAndDeclaredAgain) {
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -399,7 +399,7 @@
 // A crash before, and after, each write of the first minutes; with the answer, and without it.
 TEST_F(Pools, NoCrashRentsTwiceOrLosesAMachine) {
   for (const Luck luck : {Luck::lost, Luck::unanswered, Luck::late}) {
-    for (std::size_t at = 1; at <= 9; ++at) {
+    for (std::size_t at = 1; at <= 12; ++at) {
       SCOPED_TRACE("write " + std::to_string(at));
       Days days({pool_of("dawn", 5)});
       bool crashed = false;
@@ -617,16 +617,18 @@
   days.declare(days.set.pools);
   days.capacity = 1;
   std::vector<std::uint64_t> pauses;
-  for (int minute = 0; minute < 30; ++minute) {
-    days.calm(std::chrono::minutes(1));
-    const PoolState state = state_from(days.store.get(state_key("dawn")).entry.data);
+  for (int second = 0; second < 30 * 60; ++second) {
+    days.calm(std::chrono::seconds(1));
+    const state::GetResult known = days.store.get(state_key("dawn"));
+    if (known.answer != Answer::ok) continue;
+    const PoolState state = state_from(known.entry.data);
     if (state.refusals.empty()) continue;
     if (pauses.empty() || pauses.back() != state.refusals.at("big/a/ordinary").pause_ms) {
       pauses.push_back(state.refusals.at("big/a/ordinary").pause_ms);
     }
-    if (minute == 10) days.take_lead(1);
+    if (second == 11 * 60) days.take_lead(1);
   }
-  EXPECT_EQ(pauses, (std::vector<std::uint64_t>{60'000, 120'000, 240'000, 480'000, 960'000}));
+  EXPECT_EQ(pauses, (std::vector<std::uint64_t>{30'000, 60'000, 120'000, 240'000, 480'000, 960'000}));
   EXPECT_EQ(days.view().held, 1U);
   EXPECT_NE(days.view().why, "");
   days.capacity = 50;
@@ -662,7 +664,7 @@
   for (wire::MachineType& type : days.types) type.price *= 10;
   days.expected_money = 0;
   bool reached = false;
-  for (int minute = 0; minute < 60 && !reached; ++minute) {
+  for (int minute = 0; minute < 40 && !reached; ++minute) {
     days.calm(std::chrono::minutes(1));
     reached = days.view().why.find("is reached") != std::string::npos;
   }
@@ -749,32 +751,36 @@
   EXPECT_LE(days.writes, 3U) << "nor is it tried again and again";
 }
 
-// Live work has the budget of writes first: one a second of what can wait, and the same record every 10 s.
+// Live work has the budget of writes first: one a second of what can wait, and the same record every 10 s. Eight pools
+// always have something to write, so that the first bound holds them back; two would write the same records again and again.
 TEST_F(Pools, WritesWhatCanWaitSeldom) {
-  std::vector<catalog::PoolDef> pools;
-  for (int at = 0; at < 2; ++at) pools.push_back(pool_of("pool-" + std::to_string(at), 2));
-  Days days(pools);
-  std::map<std::chrono::milliseconds, int> each_second;
-  std::map<std::string, int> each_record;
-  days.fate = [&](const state::Txn& txn) {
-    const Kind kind = days.kind_of(txn);
-    if (kind != Kind::answer && kind != Kind::leaving) ++each_second[days.now / 1000];
-    for (const state::Change& change : txn.changes) ++each_record[change.key];
-    return Luck::fine;
-  };
-  for (int at = 0; at < 600; ++at, days.pass(std::chrono::milliseconds(100))) {
-    for (auto& [unused, machine] : days.machines) {
-      machine.use = at / 7 % 2 == 0 ? Use::own : Use::idle;
-      machine.team = machine.use == Use::own ? "red" : "";
-      machine.warm = at / 7 % 2 == 0;
+  for (const auto& [pools_declared, seconds_least] : {std::pair(8, 40U), std::pair(2, 20U)}) {
+    SCOPED_TRACE(std::to_string(pools_declared) + " pools");
+    std::vector<catalog::PoolDef> pools;
+    for (int at = 0; at < pools_declared; ++at) pools.push_back(pool_of("pool-" + std::to_string(at), 2));
+    Days days(pools);
+    std::map<std::chrono::milliseconds, int> each_second;
+    std::map<std::string, int> each_record;
+    days.fate = [&](const state::Txn& txn) {
+      const Kind kind = days.kind_of(txn);
+      if (kind != Kind::answer && kind != Kind::leaving) ++each_second[days.now / 1000];
+      for (const state::Change& change : txn.changes) ++each_record[change.key];
+      return Luck::fine;
+    };
+    for (int at = 0; at < 600; ++at, days.pass(std::chrono::milliseconds(100))) {
+      for (auto& [unused, machine] : days.machines) {
+        machine.use = at / 7 % 2 == 0 ? Use::own : Use::idle;
+        machine.team = machine.use == Use::own ? "red" : "";
+        machine.warm = at / 7 % 2 == 0;
+      }
+      days.follow(0);
+      days.round(0, Luck::fine);
+    }
+    EXPECT_GT(each_second.size(), seconds_least);
+    for (const auto& [unused, writes] : each_second) EXPECT_LE(writes, 2);
+    for (const auto& [key, writes] : each_record) {
+      EXPECT_LE(writes, key == kNextKey ? 60 : 9) << key;
     }
-    days.follow(0);
-    days.round(0, Luck::fine);
-  }
-  EXPECT_GT(each_second.size(), 20U);
-  for (const auto& [unused, writes] : each_second) EXPECT_LE(writes, 2);
-  for (const auto& [key, writes] : each_record) {
-    EXPECT_LE(writes, key == kNextKey ? 60 : 9) << key;
   }
 }
 
