A command says why a node can't take it

Seen by hand at a node that alone is refused by the state service: `status` and `cancel` were silent for a minute and then said "can't take it now", though each 503 of the node names the cause. Now the cause is told once after 5 s and at the end. A shorter silence stays silent, as a takeover or a restart passes within it.

--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -15,6 +15,26 @@
   return *address;
 }
 
+// Why there is no good answer, in the node's words if it has any.
+std::string reason_of(const net::HttpResponse& answer) {
+  std::string reason = "status " + std::to_string(answer.status);
+  if (answer.body.empty()) return reason;
+  const wire::Value body = wire::decode(answer.body);
+  if (const std::string* text = body["error"].as_text()) reason = *text;
+  return reason;
+}
+
+// Whoever waits for a minute should know for what.
+std::string refusal(const net::HttpResponse& answer, const char* when) {
+  std::string said = std::string(" can't take it ") + when;
+  try {
+    said += ": " + reason_of(answer);
+  } catch (const wire::Malformed&) {
+    said += ": status " + std::to_string(answer.status);
+  }
+  return said;
+}
+
 }  // namespace
 
 Asker::Asker(const std::string& to) : to_(to), client_(address_of(to), constants::kCliConnectLimit) {}
@@ -29,12 +49,14 @@
     auto wait = std::chrono::seconds(1);
     if (answer && answer->retry_after_s) wait = std::max(wait, std::chrono::seconds(*answer->retry_after_s));
     if (net::Clock::now() + wait >= until) {
-      std::cerr << "foxshunt: " << to_ << (answer ? " can't take it now" : " does not answer") << "\n";
+      std::cerr << "foxshunt: " << to_ << (answer ? refusal(*answer, "now") : " does not answer") << "\n";
       return std::nullopt;
     }
-    // A wrong address should not look like a command that hangs.
-    if (!answer && !told && net::Clock::now() - began >= constants::kCliConnectLimit) {
-      std::cerr << "foxshunt: " << to_ << " does not answer yet, it is asked again for a minute\n";
+    // Neither a wrong address nor a node without the state service should look like a command that hangs.
+    const auto patient = answer ? constants::kCliCallLimit : constants::kCliConnectLimit;
+    if (!told && net::Clock::now() - began >= patient) {
+      std::cerr << "foxshunt: " << to_ << (answer ? refusal(*answer, "yet") : " does not answer yet")
+                << "; it is asked again for a minute\n";
       told = true;
     }
     std::this_thread::sleep_for(wait);
@@ -51,12 +73,7 @@
       good(wire::decode(answer.body));
       return Exit::fine;
     }
-    std::string why = "status " + std::to_string(answer.status);
-    if (!answer.body.empty()) {
-      const wire::Value body = wire::decode(answer.body);
-      if (const std::string* text = body["error"].as_text()) why = *text;
-    }
-    std::cerr << "foxshunt: " << why << "\n";
+    std::cerr << "foxshunt: " << reason_of(answer) << "\n";
   } catch (const wire::Malformed& error) {
     std::cerr << "foxshunt: the answer can't be read: " << error.what() << "\n";
     return Exit::failed;
--- a/tests/smoke/refused_test.cpp
+++ b/tests/smoke/refused_test.cpp
@@ -336,6 +336,27 @@
   });
 }
 
+// Whoever asks the refused node is told why nothing comes, and has the answer when it can be given.
+TEST_F(SmokeRefusal, ACommandSaysWhyItWaits) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  cluster_->state().refuse(kLeader, true);
+  std::atomic<bool> done{false};
+  Ran ran;
+  std::jthread user([&] {
+    ran = run("status --to " + cluster_->address(kLeader).text() + " j-000001");
+    done = true;
+  });
+  sleep_until(now() + Millis(9'000));  // some words come after 5 s
+  EXPECT_FALSE(done);
+  cluster_->state().refuse(kLeader, false);
+  user.join();
+  const std::string waits = " can't take it yet: the state service can't be reached; it is asked again for a minute\n";
+  EXPECT_NE(ran.out.find(waits), std::string::npos) << ran.out;
+  EXPECT_EQ(ran.out.find(waits), ran.out.rfind(waits)) << ran.out;
+  EXPECT_NE(ran.out.find("\nj-000001 running done 0 running 2\n"), std::string::npos) << ran.out;
+  EXPECT_EQ(ran.code, 0);
+}
+
 // A cancellation is carried out and its answer lost, another one is carried out late, after a newer one: no node answers
 // anything older than what any node has told.
 TEST_F(SmokeRefusal, NoNodeAnswersOlderWhenACancellationsAnswerIsLost) {
