--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -86,6 +86,8 @@
 class Engine {
  public:
   explicit Engine(config::Settings settings);
+  // Another one that goes on from the same moment, for tests that try several orders.
+  [[nodiscard]] Engine copy() const;
 
   // ---- leadership ----
   void lead(const Takeover& takeover, Instant now);
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -18,6 +18,14 @@
       machines_(
           {.lease = lease_span(settings_), .silence = silence_span(settings_), .detour = detour_span(settings_)}) {}
 
+Engine Engine::copy() const {
+  Engine made = *this;
+  for (auto& [id, machine] : made.machines_) {
+    if (machine.planned != nullptr) machine.planned = made.planner_.node(id);
+  }
+  return made;
+}
+
 // ---- leadership ----
 
 void Engine::lead(const Takeover& takeover, Instant now) {
--- /dev/null
+++ b/tests/explorer/model.cpp
@@ -0,0 +1,849 @@
+#include "explorer/model.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "config/constants.h"
+#include "config/guards.h"
+#include "control/readiness.h"
+#include "control/times.h"
+
+namespace foxshunt::explorer {
+
+using state::Answer;
+using Request = standins::History::Request;
+
+namespace {
+
+constexpr Millis kQuantum{1000};  // of rounds, while time passes
+constexpr Millis kFine{250};      // of workers' clocks
+constexpr double kReportS = 2;    // small figures, so that few rounds pass until a lease ends
+constexpr double kLeaseS = 8;
+constexpr double kCancelS = 18;           // the fence is then 8 s
+constexpr std::size_t kMachinesMost = 8;  // those that were returned among them
+constexpr std::size_t kHops = 3;          // redirections of one report
+constexpr std::int64_t kWallStart = 1'800'000'000'000;
+
+NodeName name_of(std::size_t node) { return NodeName("node-" + std::to_string(node)); }
+std::string zone_of(std::size_t node) { return node % 2 == 0 ? "a" : "b"; }
+
+wire::MachineType type() {
+  return {.name = "g",
+          .cpus = kMachineCpus,
+          .gpus = 0,
+          .ram_gb = 64,
+          .cache_gb = 100,
+          .fetch_gb_per_s = 1,
+          .price = 1,
+          .spot_price = 1,
+          .boot_s = 60,
+          .zones = {"a", "b"}};
+}
+
+}  // namespace
+
+// ---- workers' surroundings ----
+
+const wire::JobSpec* Model::Stage::job(const JobId& id) {
+  const auto& jobs = model->setup_->jobs;
+  const auto found = std::ranges::find(jobs, id, &wire::JobSpec::id);
+  return found == jobs.end() ? nullptr : &*found;
+}
+
+Millis Model::Stage::run_left(const TaskKey&) { return control::from_seconds(model->setup_->run_s); }
+
+void Model::Stage::on_started(const TaskKey& task, AttemptNo, const MachineId& id) {
+  const auto machine = std::ranges::find(model->machines_, id, [](const Machine& one) { return one.worker.id(); });
+  model->rules_.on_started(task, {.machine = id, .type = "g", .zone = machine->zone, .spot = false}, model->now_);
+}
+
+void Model::Stage::on_gone(const TaskKey& task, AttemptNo, const MachineId& machine, bool done) {
+  model->rules_.on_gone(task, machine, done, model->now_);
+  if (!done || !model->done_.insert(task).second) return;
+  const auto all = std::ranges::count(model->done_, task.job, &TaskKey::job);
+  if (all == job(task.job)->tasks) model->history_.on_ended(task.job, false, model->now_);
+}
+
+// ---- beginnings ----
+
+Model::Node::Node(const Node& other)
+    : engine(other.engine.copy()),
+      life(other.life),
+      frozen(other.frozen),
+      refused(other.refused),
+      lease(other.lease),
+      taking(other.taking),
+      follow_from(other.follow_from),
+      leader_seen(other.leader_seen),
+      term_seen(other.term_seen),
+      holder(other.holder),
+      leader_answered(other.leader_answered),
+      writing(other.writing),
+      ended(other.ended),
+      lease_at(other.lease_at),
+      read_at(other.read_at),
+      others_until(other.others_until) {}
+
+Model::Model(const Setup& setup)
+    : setup_(&setup), stage_(std::make_shared<Stage>()), now_(Millis(1'000'000)), rules_(settings_of(0)) {
+  stage_->model = this;
+  rules_.on_types({type()});
+  for (std::size_t node = 0; node < setup.nodes; ++node) nodes_.push_back(new_node(node, 1));
+  for (const std::string& zone : setup.machines) add_machine(zone);
+  round(false);
+  for (const Action& action : setup.begins) (void)apply(action);
+}
+
+Model::Model(const Model& other) = default;
+
+void Model::add_machine(const std::string& zone) {
+  machines_.push_back({.worker = {MachineId("m-00000" + std::to_string(machines_.size() + 1)), type(), zone, false,
+                                  control::from_seconds(kLeaseS), *stage_, now_},
+                       .zone = zone,
+                       .lease_from = now_});
+  machines_.back().worker.gang_ready = [stage = stage_.get()](const JobId& id, AttemptNo attempt) {
+    std::set<std::uint32_t> ready;
+    for (Machine& machine : stage->model->machines_) {
+      for (const auto& [key, there] : machine.worker.attempts()) {
+        if (key.first.job == id && key.second == attempt && there.on_machine) ready.insert(key.first.index);
+      }
+    }
+    return ready.size() == stage->job(id)->tasks;
+  };
+}
+
+config::Settings Model::settings_of(std::size_t node) const {
+  config::Settings settings;
+  settings.name = name_of(node);
+  settings.zone = zone_of(node);
+  settings.nodes = setup_->nodes;
+  settings.zones = {"a", "b"};
+  for (std::size_t other = 0; other < setup_->nodes; ++other) {
+    if (other != node) settings.siblings.push_back({.name = name_of(other), .zone = zone_of(other), .endpoint = {}});
+  }
+  settings.teams = {{.name = "red", .cpus = 0, .cpus_max = setup_->team_cpus_most, .gpus = 0, .gpus_max = 0}};
+  settings.report_s = kReportS;
+  settings.lease_s = kLeaseS;
+  settings.cancel_s = kCancelS;
+  settings.gang_wait_s = 30;
+  settings.gang_peer_s = 5;
+  settings.state_value_kb = 8;
+  settings.state_txn_ops = 16;
+  settings.cloud_list_lag_s = 5;
+  settings.operators.may_rent = false;
+  settings.operators.may_return = false;
+  settings.operators.zone_grants = setup_->grants;
+  return settings;
+}
+
+Model::Node Model::new_node(std::size_t node, std::uint64_t life) const {
+  const config::Settings settings = settings_of(node);
+  Node made{control::Engine(settings)};
+  made.engine.on_types({type()});
+  made.life = life;
+  made.holder = zone::Holder(settings.name, settings.zone, life, control::grant_spans(settings));
+  return made;
+}
+
+std::int64_t Model::wall_ms() const { return kWallStart + now_.time_since_epoch().count(); }
+
+std::optional<std::size_t> Model::node_of(const NodeName& name) const {
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    if (name_of(node) == name) return node;
+  }
+  return std::nullopt;
+}
+
+std::optional<Fate> Model::fate(Sort sort, std::size_t who) {
+  const auto found = armed_.find({sort, who});
+  if (found == armed_.end()) return std::nullopt;
+  const Fate fate = found->second;
+  armed_.erase(found);
+  return fate;
+}
+
+// ---- actions ----
+
+bool Model::apply(const Action& action) {
+  stage_->model = this;
+  if (!apply_choice(action)) return false;
+  rules_.check(now_);
+  for (const Node& node : nodes_) {
+    if (!fault_ && node.engine.leading()) fault_ = node.engine.disagreement();
+  }
+  return true;
+}
+
+bool Model::apply_choice(const Action& action) {
+  const std::size_t a = action.a;
+  const std::size_t b = action.b;
+  const auto flip = [](auto& set, const auto& entry) {
+    if (set.erase(entry) == 0) set.insert(entry);
+    return true;
+  };
+  switch (action.kind) {
+    case Kind::pass: return a < kSpans.size() && (pass(kSpans[a], b == 1), true);
+    case Kind::turn: return a < nodes_.size() && !nodes_[a].frozen && (turn(a, static_cast<Duty>(b)), true);
+    case Kind::report:
+      if (a >= machines_.size() || !machines_[a].worker.alive || machines_[a].worker.hung || machines_[a].waits_until)
+        return false;
+      machines_[a].next_report = now_;
+      report_turn(a);
+      return true;
+    case Kind::submit:
+      if (a >= setup_->jobs.size() || b >= nodes_.size() || nodes_[b].frozen) return false;
+      submit(setup_->jobs[a], b);
+      return true;
+    case Kind::cancel:
+    case Kind::ask:
+      if (a >= setup_->jobs.size() || b >= nodes_.size() || nodes_[b].frozen) return false;
+      action.kind == Kind::ask ? ask(setup_->jobs[a].id, b) : cancel(setup_->jobs[a].id, b);
+      return true;
+    case Kind::crash:
+      if (a >= nodes_.size()) return false;
+      {
+        Node fresh = new_node(a, nodes_[a].life + 1);
+        fresh.refused = nodes_[a].refused;
+        nodes_[a] = std::move(fresh);
+      }
+      return true;
+    case Kind::freeze: return a < nodes_.size() && (nodes_[a].frozen = !nodes_[a].frozen, true);
+    case Kind::refuse: return a < nodes_.size() && (nodes_[a].refused = !nodes_[a].refused, true);
+    case Kind::outage:
+      outage_ = !outage_;
+      if (outage_) return true;
+      store_.renew_all(now_);
+      for (auto& [unused, until] : leases_) until = now_ + constants::kLeaderLease;
+      return true;
+    case Kind::part: return parted_ = !parted_, true;
+    case Kind::cut: return a < machines_.size() && b < nodes_.size() && flip(cuts_, std::pair(a, b));
+    case Kind::hang: return a < machines_.size() && (machines_[a].worker.hung = !machines_[a].worker.hung, true);
+    case Kind::deaf: return a < machines_.size() && (machines_[a].deaf = !machines_[a].deaf, true);
+    case Kind::capture: {
+      if (captured_.size() + armed_.size() >= setup_->captured_most) return false;
+      return armed_.emplace(std::pair(static_cast<Sort>(a), b), static_cast<Fate>(action.c)).second;
+    }
+    case Kind::arrive: return arrive(a);
+  }
+  return false;
+}
+
+std::vector<Action> Model::choices(bool all) const {
+  std::vector<Action> found;
+  const auto add = [&](Kind kind, std::size_t a = 0, std::size_t b = 0, std::size_t c = 0) {
+    if (!all && !setup_->kinds.contains(kind)) return;
+    found.push_back({kind, static_cast<std::uint8_t>(a), static_cast<std::uint8_t>(b), static_cast<std::uint8_t>(c)});
+  };
+  for (std::size_t span = 0; span < kSpans.size(); ++span) add(Kind::pass, span);
+  if (all) add(Kind::pass, 0, 1);
+  for (std::size_t job = 0; job < setup_->jobs.size(); ++job) {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      if (nodes_[node].frozen) continue;
+      add(Kind::submit, job, node);
+      if (told_.contains(setup_->jobs[job].id)) add(Kind::cancel, job, node);
+      add(Kind::ask, job, node);
+    }
+  }
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    for (std::size_t duty = 0; duty < 5; ++duty) {
+      if (!nodes_[node].frozen && (duty < 4 || setup_->grants)) add(Kind::turn, node, duty);
+    }
+    add(Kind::crash, node);
+    add(Kind::freeze, node);
+    add(Kind::refuse, node);
+  }
+  for (std::size_t machine = 0; machine < machines_.size(); ++machine) {
+    if (!machines_[machine].worker.alive) continue;
+    add(Kind::report, machine);
+    add(Kind::hang, machine);
+    add(Kind::deaf, machine);
+    for (std::size_t node = 0; node < nodes_.size(); ++node) add(Kind::cut, machine, node);
+  }
+  add(Kind::outage);
+  add(Kind::part);
+  for (std::size_t at = 0; at < captured_.size(); ++at) add(Kind::arrive, at);
+  if (captured_.size() + armed_.size() >= setup_->captured_most) return found;
+  const auto arm = [&](Sort sort, std::size_t who, std::initializer_list<Fate> fates) {
+    if (!all && !setup_->captures.contains(sort)) return;
+    if (armed_.contains({sort, who})) return;
+    for (const Fate fate : fates)
+      add(Kind::capture, static_cast<std::size_t>(sort), who, static_cast<std::size_t>(fate));
+  };
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    arm(Sort::lead, node, {Fate::late, Fate::lost, Fate::slow});
+    arm(Sort::write, node, {Fate::late, Fate::lost, Fate::slow, Fate::held});
+    arm(Sort::user, node, {Fate::late, Fate::lost});
+    if (setup_->grants) arm(Sort::ask, node, {Fate::late});
+    if (setup_->grants) arm(Sort::grant, node, {Fate::slow});
+  }
+  for (std::size_t machine = 0; machine < machines_.size(); ++machine) {
+    arm(Sort::report, machine, {Fate::late, Fate::held});
+    arm(Sort::answer, machine, {Fate::slow, Fate::held});
+    arm(Sort::halt, machine, {Fate::late});
+  }
+  return found;
+}
+
+void Model::pass(Millis span, bool reversed) {
+  for (const Instant end = now_ + span; now_ < end;) {
+    const Instant next = std::min(end, now_ + kQuantum);
+    while (now_ < next) {
+      now_ += std::min<Millis>(kFine, next - now_);
+      advance();
+    }
+    round(reversed);
+  }
+}
+
+// A call without an answer is given up, unless its node stands still; what it asked may be carried out yet.
+void Model::give_up_calls() {
+  for (auto message = captured_.begin(); message != captured_.end();) {
+    Node& node = nodes_[message->node];
+    const bool waits = message->sort == Sort::write && (message->fate == Fate::slow || message->fate == Fate::held) &&
+                       message->life == node.life && node.writing;
+    if (!waits || node.frozen || now_ - message->sent < constants::kStateCallLimit) {
+      ++message;
+      continue;
+    }
+    node.writing = false;
+    node.engine.end_write(*message->batch, {.answer = Answer::none}, now_);
+    if (message->fate == Fate::held) {
+      message->fate = Fate::late;
+      ++message;
+    } else {
+      message = captured_.erase(message);
+    }
+  }
+}
+
+void Model::advance() {
+  if (!outage_) store_.expire(now_);
+  give_up_calls();
+  for (Machine& machine : machines_) {
+    const SessionNo before = machine.worker.session();
+    if (machine.worker.advance(now_)) {
+      machine.changed = true;
+      machine.next_report = std::min(machine.next_report, now_ + Millis(100));
+    }
+    if (machine.worker.session() != before) machine.lease_from = now_;
+    if (machine.waits_until && now_ >= *machine.waits_until) {
+      turn_to(static_cast<std::size_t>(&machine - machines_.data()), (machine.node + 1) % nodes_.size(), Millis(1000));
+    }
+  }
+  rules_.check(now_);
+}
+
+// What comes to its turn in a second in which nothing is chosen, in one order or the other.
+void Model::round(bool reversed) {
+  std::vector<std::size_t> order(nodes_.size());
+  for (std::size_t at = 0; at < order.size(); ++at) order[at] = reversed ? order.size() - 1 - at : at;
+  const auto reports = [this] {
+    for (std::size_t machine = 0; machine < machines_.size(); ++machine) report_turn(machine);
+  };
+  advance();
+  if (reversed) reports();
+  for (const std::size_t node : order) {
+    for (const Duty duty : {Duty::lead, Duty::lead, Duty::follow, Duty::plan, Duty::write, Duty::ask}) turn(node, duty);
+  }
+  if (!reversed) reports();
+  for (const std::size_t node : order) {
+    turn(node, Duty::plan);
+    turn(node, Duty::write);
+  }
+  advance();
+}
+
+void Model::turn(std::size_t node, Duty duty) {
+  if (nodes_[node].frozen) return;
+  switch (duty) {
+    case Duty::lead: return lead_turn(node);
+    case Duty::follow: return follow_turn(node);
+    case Duty::plan: return plan_turn(node);
+    case Duty::write: return write_turn(node);
+    case Duty::ask: return ask_turn(node);
+  }
+}
+
+// ---- controllers ----
+
+state::TxnResult Model::carry_out(const state::Txn& txn, const std::optional<JobId>& creates) {
+  state::TxnResult result = store_.txn(txn);
+  if (creates && result.answer == Answer::ok) rules_.on_created(*creates);
+  return result;
+}
+
+void Model::capture(Message message) {
+  message.life = nodes_[message.node].life;
+  captured_.push_back(std::move(message));
+}
+
+void Model::lead_turn(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.taking) return read_records(node);
+  if (!served(node)) return;
+  if (self.engine.leading()) {
+    const Answer answer = store_.touch(self.lease, now_);
+    if (answer == Answer::not_found) return self.engine.resign("its lease has ended");
+    leases_[self.lease.number] = now_ + constants::kLeaderLease;
+    self.engine.confirm_lease(now_);
+    self.lease_at = now_;
+    return;
+  }
+  if (self.lease.number != 0) store_.revoke(std::exchange(self.lease, {}));
+  const state::LeadView view = state::lead_view(store_.get(state::kHolderKey), store_.get(state::kTermKey));
+  const bool held = view.holder_mark != Revision{};
+  self.leader_seen = held ? view.record.leader : NodeName{};
+  self.term_seen = view.record.term;
+  self.holder.hear_of(self.term_seen);
+  if ((held && view.record.leader != name_of(node)) || self.engine.gives_way(now_)) return;
+  take_lead(node, view);
+}
+
+void Model::take_lead(std::size_t node, const state::LeadView& view) {
+  Node& self = nodes_[node];
+  const state::LeaseId lease = store_.grant(constants::kLeaderLease, now_);
+  leases_[lease.number] = now_ + constants::kLeaderLease;
+  const std::int64_t until = state::others_until(view, wall_ms(), control::fence_span(settings_of(node)).count(),
+                                                 static_cast<std::int64_t>(0));
+  const state::Txn txn = state::take_lead_txn(view, name_of(node), lease, until);
+  const auto found = fate(Sort::lead, node);
+  if (found == Fate::late || found == Fate::held) {
+    return capture({.sort = Sort::lead, .fate = Fate::late, .node = node, .sent = now_, .left = 2, .txn = txn});
+  }
+  const state::TxnResult result = store_.txn(txn);
+  if (result.answer != Answer::ok) return store_.revoke(lease);
+  self.lease = lease;
+  const Node::Taking taking{
+      .term = view.record.term.next(), .mark = result.revision, .until_wall_ms = until, .asked = now_};
+  // With no answer it looks once more and finds itself.
+  if (found == Fate::slow)
+    return capture({.sort = Sort::lead, .fate = Fate::slow, .node = node, .sent = now_, .taking = taking});
+  self.taking = taking;
+}
+
+// Its node may have stood still since it took the lead.
+void Model::read_records(std::size_t node) {
+  Node& self = nodes_[node];
+  if (!served(node)) return;
+  const Node::Taking taking = *std::exchange(self.taking, std::nullopt);
+  const state::ListResult live = store_.list(state::kLivePrefix);
+  const state::GetResult term = store_.get(state::kTermKey);
+  const control::Takeover takeover{
+      .term = taking.term,
+      .term_mark = taking.mark,
+      .others_until = now_ + Millis(std::max<std::int64_t>(0, taking.until_wall_ms - wall_ms())),
+      .live = live.entries,
+      .linger = store_.list(state::kLingerPrefix).entries,
+      .parts = {},
+      .wall_ms = wall_ms()};
+  const control::Readiness found{
+      .self = name_of(node),
+      .term = taking.term,
+      .term_mark = taking.mark,
+      .record = state::term_from(term.entry.data),
+      .record_mark = term.entry.mark,
+      .records_at = live.revision,
+      .lease_asked = taking.asked,
+      .others_until = takeover.others_until,
+      .fence_least = taking.until_wall_ms == 0
+                         ? Instant{}
+                         : taking.asked + control::fence_span(settings_of(node)) - constants::kClockRounding};
+  if (control::not_ready(found, now_)) return store_.revoke(std::exchange(self.lease, {}));
+  self.engine.lead(takeover, taking.asked);
+  self.follow_from = live.revision;
+  self.writing = false;
+  self.lease_at = self.read_at = taking.asked;
+  self.others_until = takeover.others_until;
+  self.leader_seen = name_of(node);
+  self.term_seen = taking.term;
+}
+
+void Model::follow_turn(std::size_t node) {
+  Node& self = nodes_[node];
+  if (!self.engine.leading() || !served(node)) return;
+  const state::FollowResult news = store_.follow(state::kLivePrefix, self.follow_from);
+  for (const state::Event& event : news.events) {
+    const auto id = state::job_of_key(event.key);
+    if (event.data) {
+      self.engine.on_job_record(*id, *event.data, event.mark, wall_ms(), now_);
+    } else {
+      self.engine.on_job_removed(*id, now_);
+    }
+  }
+  self.engine.confirm_reading(now_);
+  self.read_at = now_;
+  self.follow_from = news.revision;
+}
+
+void Model::plan_turn(std::size_t node) {
+  Node& self = nodes_[node];
+  if (!self.engine.leading()) return;
+  self.engine.tick(now_);
+  if (self.engine.plan_wanted()) self.engine.plan_pass(now_);
+  if (const std::vector<MachineId> names = self.engine.next_returns(now_); !names.empty()) {
+    std::vector<std::string> zones;
+    for (Machine& machine : machines_) {
+      if (!machine.worker.alive || std::ranges::find(names, machine.worker.id()) == names.end()) continue;
+      machine.worker.kill(now_);
+      zones.push_back(machine.zone);
+    }
+    if (machines_.size() < kMachinesMost) {  // its successor is up at once
+      for (const std::string& zone : zones) add_machine(zone);
+    }
+    self.engine.on_returned(names, now_);
+  }
+  for (const control::DirectHalt& halt : self.engine.due_halts(now_)) {
+    const auto found = std::ranges::find(machines_, halt.machine, [](const Machine& one) { return one.worker.id(); });
+    if (found == machines_.end()) continue;
+    const auto machine = static_cast<std::size_t>(found - machines_.begin());
+    if (fate(Sort::halt, machine)) {
+      capture({.sort = Sort::halt,
+               .node = node,
+               .machine = machine,
+               .sent = now_,
+               .commands = halt.commands,
+               .term = self.engine.term(),
+               .session = halt.session});
+    } else if (!found->deaf && !found->worker.hung && found->worker.alive && !cut(machine, node)) {
+      (void)found->worker.direct(self.engine.term(), halt.session, halt.commands, now_);
+      found->changed = true;
+    }
+  }
+}
+
+void Model::write_turn(std::size_t node) {
+  Node& self = nodes_[node];
+  if (self.writing) return;
+  while (served(node)) {
+    const auto reload = self.engine.next_reload();
+    if (!reload || !self.engine.leading()) break;
+    const state::GetResult found = store_.get(reload->key());
+    self.engine.on_reloaded(*reload, found.answer == Answer::ok ? std::optional(found.entry.mark) : std::nullopt, now_);
+  }
+  const auto batch = self.engine.begin_write(now_);
+  if (!batch) return;
+  if (!served(node)) return self.engine.end_write(*batch, {.answer = Answer::refused}, now_);
+  const auto found = fate(Sort::write, node);
+  if (!found) return self.engine.end_write(*batch, store_.txn(batch->txn), now_);
+  Message message{.sort = Sort::write, .fate = *found, .node = node, .sent = now_, .txn = batch->txn, .batch = *batch};
+  if (*found == Fate::late) message.left = 2;
+  if (*found == Fate::lost || *found == Fate::slow) message.result = store_.txn(batch->txn);
+  if (*found == Fate::late || *found == Fate::lost) self.engine.end_write(*batch, {.answer = Answer::none}, now_);
+  if (*found == Fate::slow || *found == Fate::held) self.writing = true;
+  if (*found != Fate::lost) capture(std::move(message));
+}
+
+void Model::ask_turn(std::size_t node) {
+  Node& self = nodes_[node];
+  const auto leader = node_of(self.leader_seen);
+  if (!setup_->grants || self.engine.leading() || !leader || *leader == node) return;
+  Message message{
+      .sort = Sort::ask, .node = node, .sent = now_, .left = 2, .ask = self.holder.next_ask(self.term_seen, now_)};
+  if (fate(Sort::ask, node)) return capture(std::move(message));
+  message.life = self.life;
+  on_ask(message);
+}
+
+void Model::on_ask(const Message& message) {
+  // The leader that it asked; by now that may lead no longer.
+  for (std::size_t leader = 0; leader < nodes_.size(); ++leader) {
+    if (leader == message.node || nodes_[leader].frozen || parted_ || nodes_[leader].engine.term() != message.ask.term)
+      continue;
+    const auto grant = nodes_[leader].engine.on_ask(message.ask, now_);
+    Node& asker = nodes_[message.node];
+    if (!grant || asker.life != message.life) return;
+    Message answer{
+        .sort = Sort::grant, .fate = Fate::slow, .node = message.node, .sent = message.sent, .grant = *grant};
+    if (asker.frozen || fate(Sort::grant, message.node)) return capture(std::move(answer));
+    if (asker.holder.on_grant(*grant, message.sent)) asker.leader_answered = now_;
+    return;
+  }
+}
+
+// ---- workers ----
+
+void Model::turn_to(std::size_t machine, std::size_t node, Millis pause) {
+  machines_[machine].waits_until.reset();
+  machines_[machine].node = node;
+  machines_[machine].next_report = now_ + pause;
+}
+
+void Model::report_turn(std::size_t number) {
+  for (std::size_t hop = 0; hop < kHops; ++hop) {
+    Machine& machine = machines_[number];
+    if (!machine.worker.alive || machine.worker.hung || machine.waits_until || now_ < machine.next_report) return;
+    machine.changed = false;
+    machine.waits_until = now_ + constants::kReportAnswerLimit;
+    const wire::Report report = machine.worker.report();
+    const auto found = fate(Sort::report, number);
+    if (found) {  // a copy, or the report itself
+      capture({.sort = Sort::report,
+               .fate = *found,
+               .node = machine.node,
+               .machine = number,
+               .sent = now_,
+               .left = 2,
+               .report = report});
+    }
+    if (found != Fate::held) deliver_report(number, report, now_, machine.node);
+  }
+}
+
+void Model::deliver_report(std::size_t number, const wire::Report& report, Instant sent, std::size_t node) {
+  Machine& machine = machines_[number];
+  Node& self = nodes_[node];
+  if (self.frozen) {
+    if (captured_.size() < setup_->captured_most)
+      capture(
+          {.sort = Sort::report, .fate = Fate::held, .node = node, .machine = number, .sent = sent, .report = report});
+    return;
+  }
+  if (cut(number, node)) return turn_to(number, (node + 1) % nodes_.size(), Millis(1000));
+  if (self.engine.leading()) return take_report(number, report, sent, node);
+  const auto leader = node_of(self.leader_seen);
+  if (leader && *leader != node) {
+    if (!cut(number, *leader) && !nodes_[*leader].frozen && nodes_[*leader].engine.leading()) {
+      if (answer_by_grant(number, report, sent, node, false)) return;
+      if (!machine.deaf) turn_to(number, *leader, Millis(0));
+      return;
+    }
+    if (!parted_ && !nodes_[*leader].frozen) return take_report(number, report, sent, *leader);
+  }
+  if (answer_by_grant(number, report, sent, node, true)) return;
+  turn_to(number, (node + 1) % nodes_.size(), Millis(1000));
+}
+
+bool Model::answer_by_grant(std::size_t number, const wire::Report& report, Instant sent, std::size_t node,
+                            bool tried) {
+  Node& self = nodes_[node];
+  const bool near = self.leader_answered && now_ - *self.leader_answered < constants::kContactLost;
+  if (near && !tried) return false;
+  const auto term = self.holder.answers(report.machine, report.zone, report.term, now_);
+  if (!term) return false;
+  deliver_answer(number, std::vector<wire::Command>{}, *term, report.session, sent);
+  return true;
+}
+
+void Model::take_report(std::size_t number, const wire::Report& report, Instant sent, std::size_t node) {
+  Node& self = nodes_[node];
+  Message message{.sort = Sort::answer,
+                  .fate = Fate::held,
+                  .node = node,
+                  .machine = number,
+                  .sent = sent,
+                  .report = report,
+                  .commands = self.engine.on_report(report, now_),
+                  .term = self.engine.term()};
+  if (now_ - sent >= constants::kReportAnswerLimit) return;
+  if (!message.commands) return deliver_answer(number, {}, {}, report.session, sent);
+  const auto found = armed_.find({Sort::answer, number});
+  if (found != armed_.end() && found->second == Fate::held) {  // it waits at the node
+    armed_.erase(found);
+    return capture(std::move(message));
+  }
+  message.life = self.life;
+  end_answer(message);
+}
+
+// As src/node does: the answer has waited for what the report has caused to become durable.
+void Model::end_answer(const Message& message) {
+  Node& self = nodes_[message.node];
+  if (self.frozen || self.life != message.life) return;
+  auto commands = message.commands;
+  if (!self.engine.settled(message.report)) {
+    plan_turn(message.node);
+    write_turn(message.node);
+  }
+  const auto later = self.engine.later_commands(message.report, now_);
+  if (!later || (guards::kept(guards::Guard::answer_term) && self.engine.term() != message.term)) {
+    return deliver_answer(message.machine, {}, {}, message.report.session, message.sent);
+  }
+  for (const wire::Command& command : *later) {
+    if (std::ranges::find(*commands, command) == commands->end()) commands->push_back(command);
+  }
+  if (fate(Sort::answer, message.machine)) {  // it is under way
+    return capture({.sort = Sort::answer,
+                    .fate = Fate::slow,
+                    .node = message.node,
+                    .machine = message.machine,
+                    .sent = message.sent,
+                    .commands = commands,
+                    .term = message.term,
+                    .session = message.report.session});
+  }
+  deliver_answer(message.machine, commands, message.term, message.report.session, message.sent);
+}
+
+void Model::deliver_answer(std::size_t number, const std::optional<std::vector<wire::Command>>& commands, Term term,
+                           SessionNo session, Instant sent) {
+  Machine& machine = machines_[number];
+  if (!machine.worker.alive || machine.worker.hung || machine.deaf || !machine.waits_until) return;
+  if (*machine.waits_until != sent + constants::kReportAnswerLimit || now_ >= *machine.waits_until) return;
+  if (!commands) return turn_to(number, (machine.node + 1) % nodes_.size(), Millis(1000));
+  machine.waits_until.reset();
+  machine.next_report = now_ + (commands->empty() ? control::from_seconds(kReportS) : Millis(500));
+  if (machine.worker.answer(term, *commands, session, sent, now_)) {
+    machine.lease_from = std::max(machine.lease_from, sent);
+  }
+}
+
+// ---- users ----
+
+// live/ first, then over/, as the front does.
+Model::Seen Model::look(std::size_t node, const JobId& job) {
+  Node& self = nodes_[node];
+  if (const auto known = self.ended.find(job); known != self.ended.end()) return {.status = known->second, .live = {}};
+  const state::GetResult live = store_.get(state::live_key(job));
+  if (live.answer == Answer::ok) {
+    const state::JobRecord record = state::job_from(live.entry.data);
+    return {.status = state::status_of(record), .live = record, .mark = live.entry.mark};
+  }
+  const state::GetResult over = store_.get(state::over_key(job));
+  if (over.answer != Answer::ok) return {};
+  return {.status = self.ended[job] = state::over_from(job, over.entry.data), .live = {}};
+}
+
+void Model::submit(const wire::JobSpec& spec, std::size_t node) {
+  rules_.on_submitted(spec);
+  const auto number = history_.on_asked(Request::submission, spec.id, node, now_);
+  const auto answer = [&](int status, std::optional<wire::JobState> state) {
+    history_.on_answered(number, {.status = status, .state = state}, now_);
+    if (!state) return;
+    rules_.on_accepted(spec.id, now_);
+    if (status == 200) rules_.on_told(spec.id, *state, now_);
+    told_[spec.id] = *state;
+  };
+  if (!served(node)) return answer(503, {});
+  const state::Txn txn = state::accept_txn(state::new_job(spec, wall_ms()));
+  const auto found = fate(Sort::user, node);
+  if (found == Fate::late)
+    capture({.sort = Sort::user, .node = node, .sent = now_, .left = 2, .txn = txn, .creates = spec.id});
+  const bool created = found != Fate::late && carry_out(txn, spec.id).answer == Answer::ok;
+  if (created && !found) return answer(201, wire::JobState::pending);
+  const Seen seen = look(node, spec.id);
+  if (!seen.status) return answer(503, {});
+  answer(200, seen.status->state);
+}
+
+void Model::cancel(const JobId& job, std::size_t node) {
+  const auto number = history_.on_asked(Request::cancellation, job, node, now_);
+  const auto answer = [&](int status, std::optional<wire::JobState> state) {
+    history_.on_answered(number, {.status = status, .state = state}, now_);
+    if (!state) return;
+    rules_.on_told(job, *state, now_);
+    told_[job] = *state;
+    if (*state == wire::JobState::withdrawn) withdrawn_.try_emplace(job, now_);
+  };
+  if (!served(node)) return answer(503, {});
+  for (int tries = 0; tries < constants::kConflictsMost; ++tries) {
+    const Seen seen = look(node, job);
+    if (!seen.status) return answer(404, {});
+    if (!seen.live) return answer(200, seen.status->state);
+    const state::Txn txn = state::withdraw_txn(*seen.live, seen.mark);
+    const auto found = fate(Sort::user, node);
+    if (found == Fate::late) {  // with no answer the front tries again
+      capture({.sort = Sort::user, .node = node, .sent = now_, .left = 2, .txn = txn});
+      continue;
+    }
+    if (store_.txn(txn).answer == Answer::ok && !found) {
+      nodes_[node].ended[job] = {
+          .id = job, .state = wire::JobState::withdrawn, .done = seen.status->done, .running = 0};
+      return answer(200, wire::JobState::withdrawn);
+    }
+  }
+  answer(503, {});
+}
+
+void Model::ask(const JobId& job, std::size_t node) {
+  const auto number = history_.on_asked(Request::question, job, node, now_);
+  if (!served(node) && !nodes_[node].ended.contains(job)) return history_.on_answered(number, {.status = 503}, now_);
+  const Seen seen = look(node, job);
+  history_.on_answered(
+      number,
+      {.status = seen.status ? 200 : 404, .state = seen.status ? std::optional(seen.status->state) : std::nullopt},
+      now_);
+  if (!seen.status) return rules_.on_told_unknown(job);
+  rules_.on_told(job, seen.status->state, now_);
+  told_[job] = seen.status->state;
+  if (seen.status->state == wire::JobState::withdrawn) withdrawn_.try_emplace(job, now_);
+}
+
+// ---- captured messages ----
+
+bool Model::arrive(std::size_t number) {
+  if (number >= captured_.size()) return false;
+  const Message message = captured_[number];
+  Node& node = nodes_[message.node];
+  const bool to_store = !message.txn.changes.empty() && !message.result;
+  const bool to_node = message.fate == Fate::slow || message.fate == Fate::held;
+  if (to_store && outage_) return false;
+  if (to_node && message.sort != Sort::report && node.frozen) return false;
+  if (message.left > 1 && message.fate != Fate::held) {
+    --captured_[number].left;
+  } else {
+    captured_.erase(captured_.begin() + static_cast<std::ptrdiff_t>(number));
+  }
+  const bool lives = node.life == message.life;
+  switch (message.sort) {
+    case Sort::lead:
+      if (message.taking && lives && !node.engine.leading() && !node.taking && node.lease.number != 0)
+        node.taking = message.taking;
+      if (to_store) (void)store_.txn(message.txn);
+      return true;
+    case Sort::write: {
+      const state::TxnResult result = message.result ? *message.result : store_.txn(message.txn);
+      if (!to_node || !lives) return true;
+      node.writing = false;
+      node.engine.end_write(*message.batch, result, now_);
+      return true;
+    }
+    case Sort::user: (void)carry_out(message.txn, message.creates); return true;
+    case Sort::report:
+      if (message.fate == Fate::held) {
+        if (machines_[message.machine].waits_until == message.sent + constants::kReportAnswerLimit && !node.frozen) {
+          deliver_report(message.machine, message.report, message.sent, message.node);
+          return true;
+        }
+      }
+      // Nobody waits for its answer, and it comes to every controller.
+      for (Node& one : nodes_) {
+        if (!one.frozen && one.engine.leading()) {
+          (void)one.engine.on_report(message.report, now_);
+        } else if (!one.frozen) {
+          (void)one.holder.answers(message.report.machine, message.report.zone, message.report.term, now_);
+        }
+      }
+      return true;
+    case Sort::answer:
+      if (message.fate == Fate::held) {
+        end_answer(message);
+      } else {
+        deliver_answer(message.machine, message.commands, message.term, message.session, message.sent);
+      }
+      return true;
+    case Sort::halt: {
+      Machine& machine = machines_[message.machine];
+      if (machine.worker.alive && !machine.deaf && !machine.worker.hung) {
+        (void)machine.worker.direct(message.term, message.session, *message.commands, now_);
+        machine.changed = true;
+      }
+      return true;
+    }
+    case Sort::ask: on_ask(message); return true;
+    case Sort::grant:
+      if (lives && node.holder.on_grant(message.grant, message.sent)) node.leader_answered = now_;
+      return true;
+  }
+  return true;
+}
+
+std::optional<std::string> Model::breach() const {
+  if (!rules_.broken().empty()) return rules_.broken().front();
+  if (!history_.broken().empty()) return history_.broken().front();
+  if (fault_) return "books: " + *fault_;
+  return std::nullopt;
+}
+
+}  // namespace foxshunt::explorer
