The emulated world cancels at a given controller, drifts workers' clocks and tells when a cancellation was confirmed

Change: World::cancel takes a node, World::drift_workers a rate for the leases of workers that begin later, and Rules::cancelled_at tells the moment.

--- a/tests/standins/rules.cpp
+++ b/tests/standins/rules.cpp
@@ -213,6 +213,11 @@
   }
 }
 
+std::optional<Instant> Rules::cancelled_at(const JobId& job) const {
+  const auto since = withdrawn_.find(job);
+  return since == withdrawn_.end() ? std::nullopt : std::optional(since->second);
+}
+
 bool Rules::is_over(const JobId& job) const { return over_told_.contains(job); }
 
 void Rules::on_created(const JobId& job) {
--- a/tests/standins/rules.h
+++ b/tests/standins/rules.h
@@ -60,6 +60,8 @@
 
   [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
   [[nodiscard]] bool is_over(const JobId& job) const;
+  // When its user was told that it is cancelled.
+  [[nodiscard]] std::optional<Instant> cancelled_at(const JobId& job) const;
   [[nodiscard]] std::size_t starts() const { return starts_; }
   // Starts of tasks after their user was told of the cancellation, though within cancel_s. They break no rule.
   [[nodiscard]] std::size_t starts_after_cancel() const { return starts_after_cancel_; }
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -751,7 +751,7 @@
     if (machine.gone) return;
     const auto supply = std::ranges::find(supplies_, machine.type, [](const Supply& s) { return s.type.name; });
     machine.worker = std::make_unique<Worker>(id, supply->type, machine.zone, machine.spot,
-                                              from_seconds(settings_.lease_s), *this, now_);
+                                              from_seconds(settings_.lease_s * worker_rate_), *this, now_);
     machine.worker->gang_wait = from_seconds(settings_.gang_wait_s);
     machine.worker->shares_fetch = fetches_share_;
     machine.worker->gang_ready = [this](const JobId& job_id, AttemptNo attempt) {
@@ -1217,12 +1217,12 @@
       });
 }
 
-void World::cancel(const JobId& id) {
+void World::cancel(const JobId& id, std::optional<std::size_t> at) {
   if (cancelled_.contains(id)) return;
-  const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
-  const auto retry = [this, id] { after(Millis(1000), [this, id] { cancel(id); }); };
+  const std::size_t node = at.value_or(std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_));
+  const auto retry = [this, id, at] { after(Millis(1000), [this, id, at] { cancel(id, at); }); };
   if (!nodes_[node].alive) return retry();
-  after(Millis(5000), [this, id] { cancel(id); });
+  after(Millis(5000), [this, id, at] { cancel(id, at); });
   struct Seen {
     Answer answer = Answer::none;
     state::GetResult live;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -63,7 +63,10 @@
   void open_windows(bool open) { windows_open_ = open; }
   void start_up(const std::string& type, const std::string& zone, std::size_t count);
   void submit(const Submission& submission);
-  void cancel(const JobId& job);
+  // At that node; or at any one each time that it is tried.
+  void cancel(const JobId& job, std::optional<std::size_t> at = {});
+  // Of workers that begin from now on: true seconds that pass while their steady clocks count one.
+  void drift_workers(double rate) { worker_rate_ = rate; }
   void crash(std::size_t node, double for_s);
   // The next node that comes to the moment ends in it.
   void crash_during(Moment moment, double for_s) { crashes_during_.emplace(moment, for_s); }
@@ -357,6 +360,7 @@
   Balancer balancer_;
   std::uint64_t polls_ = 0;
   Millis worker_step_;
+  double worker_rate_ = 1;
   std::size_t places_per_step_;
   std::vector<Node> nodes_;
   std::map<MachineId, Rented> machines_;
