--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -305,6 +305,22 @@
   EXPECT_FALSE(engine_.may_answer(now_));
 }
 
+// An answer renews the worker's lease: one that has waited for writes to settle needs the right to answer again. The node may
+// have stood still meanwhile, or lead no longer.
+TEST_F(Leading, AnAnswerThatWaitedNeedsTheRightOnceMore) {
+  lead();
+  ASSERT_TRUE(report(kFirst, 1, Term(7)));
+  EXPECT_TRUE(engine_.later_commands(last_, now_));
+  now_ += Millis(28'100);  // as above
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "it stood still";
+  engine_.confirm_lease(now_);
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "the lease alone tells nothing of cancellations";
+  engine_.confirm_reading(now_);
+  EXPECT_TRUE(engine_.later_commands(last_, now_));
+  engine_.hear_of(Term(8));
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "another one leads";
+}
+
 // Invariant 7: a team's limit counts what is placed, whatever the plan says. A pass in portions may outlive the booking
 // of a run that takes longer than estimated; the plan then takes what it uses for free.
 TEST_F(Leading, KeepsTheTeamsLimitWhenAPassOutlivesABooking) {
