What users are answered is decided in a package of its own

Need: what a front end decides was tied to node::Front and its sockets, so that neither the emulated world nor an explorer of orders could play it; the world decided by itself what users were told.

Change: src/user_api. A request says what it asks of the state service next, is told what came of that, and ends with its reply; never_runs and the final states that a node keeps are there too. node::Front moves the bytes. Behaviour is the same but for two details: an answered read of over/ or types counts as word of the state service also when nothing is found, and a submission is dated when it comes in, not after the machine types were read.

--- /dev/null
+++ b/src/user_api/request.cpp
@@ -0,0 +1,193 @@
+#include "user_api/request.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "config/constants.h"
+
+namespace foxshunt::user_api {
+
+using state::Answer;
+
+Reply error_reply(int status, const std::string& why) {
+  return {.status = status, .body = wire::Value::Map{{"error", why}}, .retry_after_s = {}};
+}
+
+Reply come_back(const std::string& why) {
+  Reply reply = error_reply(503, why);
+  reply.retry_after_s = constants::kRetryAfterSeconds;
+  return reply;
+}
+
+std::optional<std::string> never_runs(const wire::JobSpec& spec, const config::Settings& settings,
+                                      const std::vector<wire::MachineType>& types) {
+  const config::Team* team = settings.team(spec.team);
+  if (team == nullptr) return "unknown team " + spec.team;
+  const bool fits = std::ranges::any_of(types, [&](const wire::MachineType& type) {
+    const bool named = spec.types.empty() || std::ranges::find(spec.types, type.name) != spec.types.end();
+    const bool there = spec.zone.empty() || std::ranges::find(type.zones, spec.zone) != type.zones.end();
+    return named && there && spec.cpus <= type.cpus && spec.gpus <= type.gpus && spec.ram_gb <= type.ram_gb;
+  });
+  if (!fits) return "a task fits no allowed machine type";
+  const double at_once = spec.kind == wire::JobKind::array ? 1 : spec.tasks;
+  if (team->cpus_max > 0 && spec.cpus * at_once > team->cpus_max) return "needs more CPUs than the team's limit";
+  if (team->gpus_max > 0 && spec.gpus * at_once > team->gpus_max) return "needs more GPUs than the team's limit";
+  return std::nullopt;
+}
+
+void FinalStates::keep(const wire::JobStatus& status) {
+  const std::lock_guard lock(mutex_);
+  if (states_.size() >= constants::kTerminalCacheMost) states_.erase(states_.begin());
+  states_[status.id] = status;
+}
+
+std::optional<wire::JobStatus> FinalStates::find(const JobId& job) {
+  const std::lock_guard lock(mutex_);
+  const auto found = states_.find(job);
+  return found == states_.end() ? std::nullopt : std::optional(found->second);
+}
+
+Request Request::submission(Known known, const std::string& body) {
+  Request request(Purpose::submission, std::move(known));
+  wire::Value value;
+  try {
+    value = wire::decode(body);
+  } catch (const wire::Malformed& error) {
+    request.answer(error_reply(400, error.what()));
+    return request;
+  }
+  const auto id = wire::peek_job_id(value);
+  if (!id) {
+    request.answer(error_reply(400, "id: must be of the form j-000412"));
+    return request;
+  }
+  request.job_ = *id;
+  // An accepted job is known whatever a later submission of its id looks like.
+  if (const auto status = request.known_.finals.find(*id)) {
+    request.answer(200, *status);
+    return request;
+  }
+  try {
+    request.spec_ = wire::job_spec_from(value);
+  } catch (const wire::Malformed& error) {
+    request.look(error_reply(400, error.what()));
+    return request;
+  }
+  if (request.known_.types.empty()) {
+    request.reading_ = Reading::types;
+    request.step_ = Read{state::kTypesKey};
+  } else {
+    request.judge();
+  }
+  return request;
+}
+
+Request Request::question(Known known, const std::string& job) {
+  Request request(Purpose::question, std::move(known));
+  if (!wire::is_job_id(job)) {
+    request.answer(error_reply(404, "no such job"));
+    return request;
+  }
+  request.job_ = JobId(job);
+  request.look(error_reply(404, "no such job"));
+  return request;
+}
+
+Request Request::cancellation(Known known, const std::string& job) {
+  Request request(Purpose::cancellation, std::move(known));
+  if (!wire::is_job_id(job)) {
+    request.answer(error_reply(404, "no such job"));
+    return request;
+  }
+  request.job_ = JobId(job);
+  request.look(error_reply(404, "no such job"));
+  return request;
+}
+
+void Request::answer(int status, const wire::JobStatus& job) {
+  answer({.status = status, .body = wire::to_value(job), .retry_after_s = {}});
+}
+
+void Request::judge() {
+  if (known_.types.empty()) return look(come_back("machine types are not known yet"));
+  if (const auto why = never_runs(spec_, known_.settings, known_.types)) return look(error_reply(422, *why));
+  step_ = state::accept_txn(state::new_job(spec_, known_.wall_ms));
+}
+
+// live/ first, then over/: a job moves from the one to the other in a single transaction and never back, so it
+// can't be missed in both.
+void Request::look(Reply otherwise) {
+  otherwise_ = std::move(otherwise);
+  if (const auto status = known_.finals.find(job_)) return looked(Found::over, *status);
+  reading_ = Reading::live;
+  step_ = Read{state::live_key(job_)};
+}
+
+void Request::looked(Found found, const wire::JobStatus& status) {
+  if (found == Found::unknown) return answer(come_back("the state service can't be reached"));
+  if (found == Found::nowhere) return answer(std::exchange(otherwise_, {}));
+  if (found == Found::over || purpose_ != Purpose::cancellation) return answer(200, status);
+  withdrawn_ = {.id = job_, .state = wire::JobState::withdrawn, .done = status.done, .running = 0};
+  step_ = state::withdraw_txn(record_, mark_);
+}
+
+void Request::on_read(const state::GetResult& found) {
+  if (reading_ == Reading::types) return on_types(found);
+  try {
+    if (reading_ == Reading::live) return on_live(found);
+    on_over(found);
+  } catch (const wire::Malformed& error) {
+    spdlog::error("record of job {} cannot be read: {}", job_.text(), error.what());
+    looked(Found::unknown, {});
+  }
+}
+
+void Request::on_types(const state::GetResult& found) {
+  try {
+    if (found.answer == Answer::ok) known_.types = wire::machine_types_from(found.entry.data);
+  } catch (const wire::Malformed& error) {
+    spdlog::error("record of machine types cannot be read: {}", error.what());
+  }
+  judge();
+}
+
+void Request::on_live(const state::GetResult& live) {
+  if (live.answer == Answer::ok) {
+    record_ = state::job_from(live.entry.data);
+    mark_ = live.entry.mark;
+    return looked(Found::live, state::status_of(record_));
+  }
+  if (live.answer != Answer::not_found) return looked(Found::unknown, {});
+  reading_ = Reading::over;
+  step_ = Read{state::over_key(job_)};
+}
+
+void Request::on_over(const state::GetResult& over) {
+  if (over.answer == Answer::not_found) return looked(Found::nowhere, {});
+  if (over.answer != Answer::ok) return looked(Found::unknown, {});
+  const wire::JobStatus status = state::over_from(job_, over.entry.data);
+  known_.finals.keep(status);
+  looked(Found::over, status);
+}
+
+void Request::on_written(const state::TxnResult& result) {
+  const bool unsettled = result.answer == Answer::conflict || result.answer == Answer::none;
+  if (result.answer != Answer::ok && !unsettled) return answer(come_back("the state service can't take it now"));
+  if (purpose_ == Purpose::submission) {
+    // Without an answer it may have been executed, so the record is read before answering.
+    if (unsettled) return look(come_back("the state service did not answer"));
+    spdlog::info("job {} accepted", job_.text());
+    return answer(201, {.id = job_});
+  }
+  if (!unsettled) {
+    spdlog::info("job {} withdrawn by its user", job_.text());
+    known_.finals.keep(withdrawn_);
+    return answer(200, withdrawn_);
+  }
+  if (++tries_ == constants::kConflictsMost) return answer(come_back("the job changes too fast"));
+  look(std::move(otherwise_));
+}
+
+}  // namespace foxshunt::user_api
