Users of the emulated world are served by what src/user_api decides; odd requests and close looks

Need: submissions and cancellations were decided by the stand-in itself, questions never went through a node.

What the scenario expects is as it was.

--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -402,6 +402,10 @@
       });
     } else if (verb == "cancel_at_end") {
       does([this, words] { world().cancel_at_end(std::stod(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "odd_requests") {
+      does([this, words] { world().odd_requests(std::stod(words.at(1))); });
+    } else if (verb == "close_looks") {
+      does([this, words] { world().close_looks(std::stod(words.at(1))); });
     } else if (verb == "quick_boots") {
       does([this, words] { world().quick_boots(std::stod(words.at(1))); });
     } else if (verb == "deaf" || verb == "mute" || verb == "hold_commands") {
@@ -423,7 +427,7 @@
   }
 
   Submission read_job(const Words& words) {
-    Options options(words, 2, {"one_zone", "spread", "spot"});
+    Options options(words, 2, {"one_zone", "spread", "spot", "by_old_types"});
     Submission submission;
     wire::JobSpec& spec = submission.spec;
     spec.id = JobId(words.at(1));
@@ -450,6 +454,7 @@
     spec.spread = options.flag("spread");
     spec.spot = options.flag("spot");
     submission.run_s = options.number("run", 10);
+    submission.by_old_types = options.flag("by_old_types");
     spec.estimate_s = spec.kind == wire::JobKind::service ? 0 : options.number("estimate", submission.run_s);
     spec.checkpoint_s = options.number("checkpoint", 0);
     spec.save_s = options.number("save", 0);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -27,6 +27,13 @@
 constexpr double kLateWriteMost = 12;    // s
 constexpr double kLateReportLeast = 2;   // s
 constexpr double kLateReportLeases = 2.5;
+constexpr Millis kSubmitLimit{5000};  // of users
+constexpr Millis kPollLimit{2000};
+// Of a close look, after what it is for.
+constexpr std::array kLooks{Millis(0),   Millis(4),   Millis(12),   Millis(30),   Millis(80),
+                            Millis(200), Millis(600), Millis(1500), Millis(3200), Millis(5000)};
+constexpr double kOddPauseLeast = 0.2;   // s
+constexpr double kOddPauseMost = 1;      // s
 constexpr double kCancelsWithin = 0.2;   // s
 constexpr std::size_t kHangingMost = 8;  // machines
 constexpr double kQuickBootLeast = 0.2;  // s
@@ -85,6 +92,7 @@
       zone::Holder(own.name, own.zone, static_cast<std::uint64_t>(wall_ms()), control::grant_spans(settings_));
   self.engine = std::make_unique<control::Engine>(own);
   self.engine->on_types(types());
+  self.finals = std::make_unique<user_api::FinalStates>();
   self.teller = std::make_unique<standby::Teller>(self.life * 100 + node + 1);
   self.listener = std::make_unique<standby::Listener>(own.name);
   self.asking_standby = false;
@@ -1228,6 +1236,7 @@
   const bool completed = done && done_.insert(task).second;
   where_[task].erase(id);
   rules_.on_gone(task, id, done);
+  if (completed && now_ < close_looks_until_ && all_done(task.job)) look_closely(task.job);
   if (completed && now_ < cancels_at_end_.until && all_done(task.job) && lucky(cancels_at_end_.share)) {
     ++struck_["cancel_at_end"];
     cancel(task.job);
@@ -1236,6 +1245,50 @@
 
 // ---- users ----
 
+void World::serve(std::size_t node, std::shared_ptr<user_api::Request> request, Millis limit, Heard then) {
+  const Instant until = now_ + limit;
+  const auto step = [this, node, request, until, then](const auto& self) -> void {
+    if (const auto* reply = request->reply()) {
+      if (now_ <= until) then(*reply);
+      return;
+    }
+    if (const auto* read = std::get_if<user_api::Request::Read>(&request->step())) {
+      return call_state<state::GetResult>(
+          node, Duty::users, [key = read->key](StateStore& store) { return store.get(key); },
+          [request, self](const state::GetResult& found) {
+            request->on_read(found);
+            self(self);
+          });
+    }
+    call_state<state::TxnResult>(
+        node, Duty::users,
+        [this, txn = std::get<state::Txn>(request->step())](StateStore& store) {
+          const state::TxnResult result = store.txn(txn);
+          const state::Change& change = txn.changes.front();
+          const auto job = state::job_of_key(change.key);
+          const bool created = job && change.data && change.key == state::live_key(*job);
+          if (result.answer == Answer::ok && created) rules_.on_created(*job);
+          return result;
+        },
+        [request, self](const state::TxnResult& result) {
+          request->on_written(result);
+          self(self);
+        });
+  };
+  step(step);
+}
+
+user_api::Known World::known(std::size_t node) {
+  return {.settings = settings_,
+          .finals = *nodes_[node].finals,
+          .types = nodes_[node].engine->types(),
+          .wall_ms = wall_ms()};
+}
+
+std::shared_ptr<user_api::Request> World::submission(std::size_t node, const wire::Value& body) {
+  return std::make_shared<user_api::Request>(user_api::Request::submission(known(node), wire::encode(body)));
+}
+
 void World::submit(const Submission& submission) {
   const JobId id = submission.spec.id;
   submissions_[id] = submission;
@@ -1246,22 +1299,24 @@
   const auto retry = [this, submission] { after(Millis(1000), [this, submission] { submit(submission); }); };
   if (!nodes_[node].alive) return retry();
   // A node that ends answers nobody; the user tries again after 5 s.
-  after(Millis(5000), [this, id, retry] {
-    if (std::ranges::find(accepted_, id) == accepted_.end()) retry();
+  after(kSubmitLimit, [this, id, retry] {
+    if (!is_accepted(id)) retry();
   });
-  call_state<state::TxnResult>(
-      node, Duty::users,
-      [this, record = state::new_job(submission.spec, wall_ms())](StateStore& store) {
-        const state::TxnResult result = store.txn(state::accept_txn(record));
-        if (result.answer == Answer::ok) rules_.on_created(record.spec.id);
-        return result;
-      },
-      [this, id, submission](const state::TxnResult& result) {
-        if (result.answer != Answer::ok && result.answer != Answer::conflict) return;
-        if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
-        rules_.on_accepted(id, now_);
-        copy_late([this, submission] { submit(submission); });
-      });
+  user_api::Known known = this->known(node);
+  const wire::JobSpec& spec = submission.spec;
+  if (submission.by_old_types) {
+    known.types.push_back({.name = "old", .cpus = spec.cpus, .gpus = spec.gpus, .ram_gb = spec.ram_gb});
+  }
+  const std::string body = wire::encode(wire::to_value(spec));
+  serve(node, std::make_shared<user_api::Request>(user_api::Request::submission(known, body)), kSubmitLimit,
+        [this, id, submission](const user_api::Reply& reply) {
+          if (reply.status != 200 && reply.status != 201) return;
+          const bool fresh = !is_accepted(id);
+          if (fresh) accepted_.push_back(id);
+          rules_.on_accepted(id, now_);
+          copy_late([this, submission] { submit(submission); });
+          if (fresh) look_closely(id);
+        });
 }
 
 void World::cancel(const JobId& id) {
@@ -1269,39 +1324,117 @@
   const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
   const auto retry = [this, id] { after(Millis(1000), [this, id] { cancel(id); }); };
   if (!nodes_[node].alive) return retry();
-  after(Millis(5000), [this, id] { cancel(id); });
-  struct Seen {
-    Answer answer = Answer::none;
-    state::GetResult live;
-    state::GetResult over;
-  };
-  call_state<Seen>(
-      node, Duty::users,
-      [id](StateStore& store) {
-        return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))};
-      },
-      [this, id, node](const Seen& seen) {
-        if (seen.answer != Answer::ok) return;
-        if (seen.over.answer == Answer::ok) {
-          cancelled_.insert(id);
-          return rules_.on_told(id, state::over_from(id, seen.over.entry.data).state, now_);
-        }
-        if (seen.live.answer != Answer::ok) return;
-        call_state<state::TxnResult>(
-            node, Duty::users,
-            [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](
-                StateStore& store) { return store.txn(txn); },
-            [this, id](const state::TxnResult& result) {
-              if (result.answer != Answer::ok) return;
-              cancelled_.insert(id);
-              rules_.on_told(id, wire::JobState::withdrawn, now_);
-              served_.on_over(id);
-              copy_late([this, id] {
-                cancelled_.erase(id);
-                cancel(id);
-              });
-            });
+  after(kSubmitLimit, [this, id] { cancel(id); });
+  auto request = std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text()));
+  serve(node, std::move(request), kSubmitLimit, [this, id](const user_api::Reply& reply) {
+    if (reply.status != 200) return;
+    const bool fresh = cancelled_.insert(id).second;
+    const wire::JobState state = wire::job_status_from(reply.body).state;
+    rules_.on_told(id, state, now_);
+    if (state != wire::JobState::withdrawn) return;
+    served_.on_over(id);
+    copy_late([this, id] {
+      cancelled_.erase(id);
+      cancel(id);
+    });
+    if (fresh) look_closely(id);
+  });
+}
+
+void World::request(std::size_t node, const JobId& id, std::shared_ptr<user_api::Request> made) {
+  const bool accepted = is_accepted(id);
+  const bool over = rules_.is_over(id);
+  serve(node, std::move(made), kPollLimit, [this, node, id, accepted, over](const user_api::Reply& reply) {
+    if (!in_users_reach(node) || reply.status == 503) return;
+    if (reply.status != 200 && reply.status != 201) {
+      if (accepted) rules_.on_told_unknown(id);
+      return;
+    }
+    const wire::JobState state = wire::job_status_from(reply.body).state;
+    const bool last = state == wire::JobState::done || state == wire::JobState::withdrawn;
+    // Another node may have told of the end after this one had read.
+    if (!last && !over && rules_.is_over(id)) return;
+    rules_.on_told(id, state, now_);
+    if (last) served_.on_over(id);
+  });
+}
+
+void World::odd_requests(double for_s) {
+  trouble(for_s);
+  const bool running = now_ < odd_requests_until_;
+  odd_requests_until_ = std::max(odd_requests_until_, now_ + from_seconds(for_s));
+  if (!running) odd_request();
+}
+
+void World::odd_request() {
+  if (now_ >= odd_requests_until_) return;
+  after(from_seconds(between(kOddPauseLeast, kOddPauseMost)), [this] { odd_request(); });
+  const auto node = static_cast<std::size_t>(between(0, static_cast<double>(nodes_.size())));
+  if (!in_users_reach(node) || accepted_.empty()) return;
+  ++struck_["odd_requests"];
+  const JobId& id = accepted_[static_cast<std::size_t>(between(0, static_cast<double>(accepted_.size())))];
+  const wire::JobSpec& spec = submissions_.at(id).spec;
+  if (lucky(0.5)) return submit_oddly(node, spec);
+  if (rules_.is_over(id)) {
+    request(node, id, std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text())));
+    return;
+  }
+  request(node, id, submission(node, lucky(0.3) ? without_a_field(spec) : wire::to_value(spec)));
+}
+
+// All that is left out where it may be, and another field as well.
+wire::Value World::without_a_field(wire::JobSpec spec) {
+  spec.types.clear();
+  spec.zone.clear();
+  spec.deadline_s.reset();
+  wire::Value body = wire::to_value(spec);
+  wire::Value::Map& fields = *body.as_map();
+  fields.erase(fields.begin() + static_cast<std::ptrdiff_t>(between(1, static_cast<double>(fields.size()))));
+  return body;
+}
+
+// A job like an accepted one that can never run, or whose submission lacks a field.
+void World::submit_oddly(std::size_t node, wire::JobSpec spec) {
+  std::string number = std::to_string(++odd_jobs_);
+  spec.id = JobId("j-9" + std::string(6 - std::min<std::size_t>(6, number.size()), '0') + number);
+  wire::Value body;
+  if (lucky(0.5)) {
+    switch (static_cast<int>(between(0, 5))) {
+      case 0: spec.cpus *= 1e4; break;
+      case 1: spec.team = "nobody"; break;
+      case 2: spec.types = {"no such type"}; break;
+      case 3: spec.zone = "no such zone"; break;
+      default: spec.ram_gb *= 1e6; break;
+    }
+    body = wire::to_value(spec);
+  } else {
+    body = without_a_field(spec);
+  }
+  serve(node, submission(node, body), kSubmitLimit, [this, id = spec.id](const user_api::Reply& reply) {
+    // Nobody has submitted it in a form that could run.
+    if (reply.status == 200 || reply.status == 201) rules_.on_told(id, wire::JobState::pending, now_);
+  });
+}
+
+void World::close_looks(double for_s) {
+  trouble(for_s);
+  close_looks_until_ = std::max(close_looks_until_, now_ + from_seconds(for_s));
+}
+
+void World::look_closely(const JobId& id) {
+  if (now_ >= close_looks_until_) return;
+  for (const Millis pause : kLooks) {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      after(pause + from_seconds(between(0, 0.004)), [this, id, node] {
+        if (!in_users_reach(node)) return;
+        ++struck_["close_looks"];
+        const bool repeats = lucky(0.3);
+        request(node, id,
+                repeats ? submission(node, wire::to_value(submissions_.at(id).spec))
+                        : std::make_shared<user_api::Request>(user_api::Request::question(known(node), id.text())));
       });
+    }
+  }
 }
 
 std::optional<wire::JobStatus> World::ask(const JobId& id) {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -27,6 +27,7 @@
 #include "standins/served.h"
 #include "standins/state_store.h"
 #include "standins/worker.h"
+#include "user_api/request.h"
 #include "zone/grants.h"
 
 namespace foxshunt::standins {
@@ -39,7 +40,8 @@
 
 struct Submission {
   wire::JobSpec spec;
-  double run_s = 0;  // what its tasks really take
+  double run_s = 0;           // what its tasks really take
+  bool by_old_types = false;  // accepted for a machine type that there is no more
 };
 
 // A controller's duties, as far as each may come to its turn late.
@@ -114,10 +116,17 @@
   void hold_commands(const MachineId& machine, double for_s);
   // Machines that are rented meanwhile are up in under two seconds.
   void quick_boots(double for_s);
+  // Users repeat submissions of unfinished jobs, also without a field, cancel jobs that are done, and submit jobs that
+  // can never run or lack a field.
+  void odd_requests(double for_s);
+  // Users ask at all nodes, again and again within milliseconds, and repeat the submission, once a job was accepted,
+  // has ended or was confirmed as cancelled.
+  void close_looks(double for_s);
   // That share of the machines that are up, and those of a zone.
   [[nodiscard]] std::vector<MachineId> some_machines(double share);
   [[nodiscard]] std::vector<MachineId> machines_in(const std::string& zone) const;
   // How often a trouble has struck so far, by the name of its command in scenarios.
+  [[nodiscard]] const std::map<std::string, std::size_t>& struck() const { return struck_; }
   [[nodiscard]] std::size_t struck(const std::string& trouble) const;
   // In force from now on; all controllers follow the records from then on.
   void declare(const catalog::Set& set);
@@ -195,6 +204,7 @@
   };
   struct Node {
     std::unique_ptr<control::Engine> engine;
+    std::unique_ptr<user_api::FinalStates> finals;
     std::uint64_t life = 0;  // grows with each restart; what an earlier life asked is not answered
     bool alive = true;
     bool cut_from_state = false;
@@ -347,6 +357,20 @@
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
   [[nodiscard]] std::vector<wire::MachineType> types() const;
   [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
+  // As src/node/front.cpp does. Nothing comes back if the node ends, or its answer comes too late for its user.
+  using Heard = std::function<void(const user_api::Reply&)>;
+  void serve(std::size_t node, std::shared_ptr<user_api::Request> request, Millis limit, Heard then);
+  [[nodiscard]] user_api::Known known(std::size_t node);
+  [[nodiscard]] std::shared_ptr<user_api::Request> submission(std::size_t node, const wire::Value& body);
+  // A request whose answer is held against the rules only if it can't have been overtaken by another one.
+  void request(std::size_t node, const JobId& job, std::shared_ptr<user_api::Request> made);
+  void odd_request();
+  [[nodiscard]] wire::Value without_a_field(wire::JobSpec spec);
+  void submit_oddly(std::size_t node, wire::JobSpec spec);
+  void look_closely(const JobId& job);
+  [[nodiscard]] bool is_accepted(const JobId& job) const {
+    return std::ranges::find(accepted_, job) != accepted_.end();
+  }
   // Whether users' connections reach the node.
   [[nodiscard]] bool in_users_reach(std::size_t node) const;
   void probe_nodes();
@@ -380,6 +404,9 @@
   LateReports late_reports_;
   CancelsAtEnd cancels_at_end_;
   Instant quick_boots_until_;
+  Instant odd_requests_until_;
+  Instant close_looks_until_;
+  std::size_t odd_jobs_ = 0;
   std::vector<wire::Report> reports_for_next_;  // copies that wait for the next leader
   std::map<std::string, std::size_t> struck_;
   std::multimap<Moment, double> crashes_during_;
