--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -95,7 +95,78 @@
   }
 }
 
-enum class Kind { plain, zones, quick };
+// Two to four troubles that strike within seconds of each other, once to three times a day.
+void add_meetings(World& world, std::size_t nodes, const std::function<int(int, int)>& pick) {
+  const auto leader_or = [&world](std::size_t node, bool leader) {
+    return leader ? world.leader().value_or(node) : node;
+  };
+  for (int meetings = pick(1, 3); meetings > 0; --meetings) {
+    const double met_s = pick(10, 150);
+    for (int left = pick(2, 4); left > 0; --left) {
+      const double when_s = met_s + pick(0, 60) / 10.0;
+      const double for_s = pick(0, 3) == 0 ? pick(20, 75) : pick(2, 20);
+      const double share = pick(1, 9) / 10.0;
+      const bool leading = pick(0, 2) > 0;
+      const auto node = static_cast<std::size_t>(pick(0, static_cast<int>(nodes) - 1));
+      const std::string zone(1, static_cast<char>('a' + pick(0, 1)));
+      const bool one_zone = pick(0, 2) == 0;
+      const auto all_of = [&world, share, zone, one_zone] {
+        return one_zone ? world.machines_in(zone) : world.some_machines(share);
+      };
+      std::function<void()> trouble;
+      switch (pick(0, 18)) {
+        case 0:
+        case 1: trouble = [=, &world] { world.refuse_state(leader_or(node, leading), for_s); }; break;
+        case 2: trouble = [=, &world] { world.state_outage(for_s); }; break;
+        case 3: trouble = [=, &world] { world.late_writes(share, for_s, false); }; break;
+        case 4: trouble = [=, &world] { world.late_writes(share, for_s, true); }; break;
+        case 5: trouble = [=, &world] { world.late_reports(share, for_s, false); }; break;
+        case 6: trouble = [=, &world] { world.late_reports(share, for_s, true); }; break;
+        case 7:
+          trouble = [=, &world] {
+            for (const MachineId& id : all_of()) world.make_deaf(id, for_s);
+          };
+          break;
+        case 8:
+          trouble = [=, &world] {
+            for (const MachineId& id : all_of()) world.make_mute(id, for_s);
+          };
+          break;
+        case 9:
+          trouble = [=, &world] {
+            for (const MachineId& id : all_of()) world.hold_commands(id, std::min(for_s, 20.0));
+          };
+          break;
+        case 10:
+          trouble = [=, &world] {
+            for (const MachineId& id : all_of()) world.hang(id, for_s);
+          };
+          break;
+        case 11: trouble = [=, &world] { world.cancel_now(4, leading ? for_s : 0); }; break;
+        case 12: trouble = [=, &world] { world.cancel_at_end(share, for_s); }; break;
+        case 13: trouble = [=, &world] { world.odd_requests(for_s); }; break;
+        case 14: trouble = [=, &world] { world.close_looks(for_s); }; break;
+        case 15:
+          trouble = [=, &world] {
+            const std::size_t one = leader_or(node, leading);
+            world.cut_node_from_state(one, for_s, one_zone);
+            world.cut_node_from_siblings(one, for_s);
+          };
+          break;
+        case 16: trouble = [=, &world] { world.quick_boots(for_s); }; break;
+        case 17: trouble = [=, &world] { world.crash(leader_or(node, leading), one_zone ? 0.3 : 5); }; break;
+        default:
+          trouble = [=, &world] {
+            for (std::size_t each = 0; each < nodes; ++each) world.crash(each, one_zone ? 0.2 : for_s);
+          };
+          break;
+      }
+      world.at(when_s, trouble);
+    }
+  }
+}
+
+enum class Kind { plain, zones, quick, meetings };
 
 // Two classes, and four deadlines for their jobs.
 catalog::Set day_catalog() {
@@ -156,7 +227,20 @@
   std::mt19937 random(seed * 7919U + static_cast<unsigned>(kind));
   const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
   const std::size_t nodes = zone_troubles && seed % 4 == 0 ? 5 : 3;
-  World world(day_settings(seed % 2 == 0, zone_troubles), day_supplies(zone_troubles), nodes, seed);
+  const bool meetings = kind == Kind::meetings;
+  const bool tight = meetings && seed % 5 < 2;  // teams are at their limits for most of the day
+  config::Settings settings = day_settings(seed % 2 == 0, zone_troubles);
+  if (meetings) {
+    settings.operators.zone_grants = settings.operators.zone_watch = seed % 4 < 2;
+    settings.operators.standby = seed % 3 == 0;
+  }
+  if (tight) {
+    for (config::Team& team : settings.teams) {
+      team.cpus = team.cpus_max = 12;
+      team.gpus = team.gpus_max = 3;
+    }
+  }
+  World world(settings, day_supplies(zone_troubles), nodes, seed);
   if (seed % 3 == 0 || zone_troubles) world.start_up("plain", "a", 2);
   if (zone_troubles) world.start_up("plain", "b", 3);
 
@@ -173,7 +257,7 @@
                             wire::JobKind::service}[static_cast<std::size_t>(pick(0, 3))];
     spec.priority = static_cast<wire::Priority>(pick(0, 3));
     const bool gpus = pick(0, 3) == 0;
-    spec.cpus = gpus ? 2 : pick(1, 10);
+    spec.cpus = gpus ? 2 : pick(1, tight ? 4 : 10);
     spec.gpus = gpus ? 1 : 0;
     spec.ram_gb = pick(1, 12);
     spec.tasks = static_cast<std::uint32_t>(spec.kind == wire::JobKind::array ? pick(1, 9) : pick(1, 3));
@@ -183,7 +267,7 @@
     spec.spread = !spec.one_zone && !gpus && pick(0, 3) == 0;
     if (pick(0, 4) == 0 && !gpus && !spec.spread) spec.zone = "b";
     spec.spot = pick(0, 1) == 0;
-    submission.run_s = pick(3, 60);
+    submission.run_s = pick(3, tight ? 20 : 60);
     spec.estimate_s = spec.kind == wire::JobKind::service ? 0 : std::max(1.0, submission.run_s * pick(5, 18) / 10.0);
     if (pick(0, 1) == 0) {
       spec.checkpoint_s = pick(3, 15);
@@ -202,7 +286,8 @@
     if (names.empty()) return std::nullopt;
     return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random)];
   };
-  if (kind == Kind::quick) add_quick_crashes(world, nodes, pick);
+  if (kind == Kind::quick || (meetings && seed % 7 == 0)) add_quick_crashes(world, nodes, pick);
+  if (meetings) add_meetings(world, nodes, pick);
   if (with_catalog) watch_catalog(world, nodes, pick);
   if (zone_troubles) {
     for (int i = pick(1, 3); i > 0; --i) {
@@ -217,7 +302,7 @@
       }
     }
   }
-  const int troubles = pick(2, 8);
+  const int troubles = meetings ? pick(0, 2) : pick(2, 8);
   for (int i = 0; i < troubles; ++i) {
     const double when_s = pick(5, 170);
     const auto node = static_cast<std::size_t>(pick(0, static_cast<int>(nodes) - 1));
@@ -273,6 +358,9 @@
   }
   world.run_until(600);
   for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  if (meetings) {
+    for (const auto& [trouble, times] : world.struck()) spdlog::info("trouble={} times={}", trouble, times);
+  }
   expect_served(world);
   if (with_catalog) expect_catalog(world);
   EXPECT_EQ(world.accepted().size(), jobs.size());
@@ -297,7 +385,17 @@
 class CatalogDays : public testing::TestWithParam<unsigned> {};
 TEST_P(CatalogDays, SayTheSameEverywhere) { play(GetParam(), static_cast<Kind>(GetParam() % 3), true); }
 
+class MeetingDays : public testing::TestWithParam<unsigned> {};
+TEST_P(MeetingDays, KeepTheRules) { play(GetParam(), Kind::meetings); }
+
 // For tests/long-days.sh.
+TEST(ManyMeetingDays, DISABLED_KeepTheRules) {
+  for (unsigned seed = 201; seed <= 2000; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    play(seed, Kind::meetings);
+  }
+}
+
 TEST(ManyQuickDays, DISABLED_KeepTheRules) {
   for (unsigned seed = 101; seed <= 1000; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
@@ -305,6 +403,12 @@
   }
 }
 
+#ifdef FOXSHUNT_SMALL_DAYS
+constexpr unsigned kMeetingDays = 40;
+#else
+constexpr unsigned kMeetingDays = 200;
+#endif
+INSTANTIATE_TEST_SUITE_P(Seeds, MeetingDays, testing::Range(1U, kMeetingDays + 1));
 INSTANTIATE_TEST_SUITE_P(Seeds, QuickDays, testing::Range(1U, 101U));
 INSTANTIATE_TEST_SUITE_P(Seeds, ZoneDays, testing::Range(1U, 201U));
 INSTANTIATE_TEST_SUITE_P(Seeds, CatalogDays, testing::Range(1U, 101U));
