--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -134,9 +134,12 @@
       job.failed_on.insert(machine.id);
       // A job that fails wherever it runs says nothing about the machines.
       if (job.failed_on.size() < 3) ++machine.errors;
-      const Millis pause =
-          std::min(constants::kErrorPauseMost, constants::kErrorPause * (1 << std::min(job.errors, 5)));
-      if (++job.errors > 1) job.not_before = now + pause;
+      // What fails while the job pauses had begun before, with what it pauses for: it is no further failure.
+      if (now >= job.not_before) {
+        const Millis pause =
+            std::min(constants::kErrorPauseMost, constants::kErrorPause * (1 << std::min(job.errors, 5)));
+        if (++job.errors > 1) job.not_before = now + pause;
+      }
       if (machine.errors >= constants::kMachineErrorsMost) drain(machine, "tasks fail on it", now);
       break;
     }
