The emulated world is judged by the new checks

Need: the checks of users' answers, of what is accepted, of jobs left waiting and of what is served stood by themselves.

Change: the world tells them of submissions, cancellations and questions with their nodes and moments, of the ends of jobs (punctual when no trouble was within the last minute) and of what has room. The type is now there when the job is accepted and is withdrawn afterwards, and all that the scenario expected it expects still.

--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -272,8 +272,9 @@
     }
   }
   world.run_until(600);
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   expect_served(world);
+  for (const std::string& verdict : world.served_verdicts()) ADD_FAILURE() << verdict;
   if (with_catalog) expect_catalog(world);
   EXPECT_EQ(world.accepted().size(), jobs.size());
   EXPECT_GT(world.rules().starts(), 0U);
--- a/tests/scenarios/history_test.cpp
+++ b/tests/scenarios/history_test.cpp
@@ -36,6 +36,10 @@
     history_.on_ended(kJob, punctual, at_ms(ms));
     return *this;
   }
+  Told& trouble(int ms) {
+    history_.on_trouble(at_ms(ms));
+    return *this;
+  }
   // The rule that is broken; empty if none is.
   [[nodiscard]] std::string rule() const {
     if (history_.broken().empty()) return {};
@@ -182,6 +186,11 @@
   EXPECT_EQ(trouble.rule(), "") << "its machine could not be reached";
   trouble.at(60'000, Request::question, 200, JobState::done).at(60'000, Request::question, 200, JobState::pending);
   EXPECT_EQ(trouble.rule(), "went_back");
+  for (const int ms : {3999, 4000}) {
+    Told met;
+    met.accepted(0).ended(1000).trouble(ms).at(5000, Request::question, 200, JobState::running);
+    EXPECT_EQ(met.rule(), ms < 4000 ? "" : "late") << "a trouble in time";
+  }
 }
 
 TEST(History, ACancellationMeetsTheEnd) {
--- a/tests/scenarios/large_days_test.cpp
+++ b/tests/scenarios/large_days_test.cpp
@@ -145,7 +145,7 @@
     world.run_until(second);
     most_up = std::max(most_up, world.machines_up());
   }
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   EXPECT_EQ(world.accepted().size(), number);
   std::printf("seed %u, %d s: up to %zu machines, %zu starts\n", seed, for_s, most_up, world.rules().starts());
   for (const Served::Share& share : world.shares()) {
--- a/tests/scenarios/pools_test.cpp
+++ b/tests/scenarios/pools_test.cpp
@@ -105,7 +105,7 @@
   world.open_windows(false);
   world.run_until(kBurst + 240);
   EXPECT_TRUE(world.digests_equal());
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   Burst seen{.first_s = std::ranges::min(waits), .last_s = std::ranges::max(waits)};
   seen.mean_s = std::accumulate(waits.begin(), waits.end(), 0.0) / kFirst;
   const auto leader = world.leader();
@@ -197,7 +197,7 @@
     }
   }
   world.run_until(1400);
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   for (const JobId& id : jobs) {
     const auto status = world.ask(id);
     ASSERT_TRUE(status);
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -81,7 +81,7 @@
 
   void run() {
     world().run_until(end_s_);
-    for (const std::string& broken : world().rules().broken()) ADD_FAILURE() << broken;
+    for (const std::string& broken : world().broken()) ADD_FAILURE() << broken;
     EXPECT_GT(expectations_, 0) << "a scenario expects something";
   }
 
@@ -400,6 +400,8 @@
           if (verb == "mute") world().make_mute(id, std::stod(words.back()));
         }
       });
+    } else if (verb == "withdraw_type") {
+      does([this, type = words.at(1)] { world().withdraw_type(type); });
     } else if (verb == "windows") {
       does([this, words] { world().open_windows(words.at(1) == "open"); });
     } else if (verb == "expect") {
@@ -511,7 +513,9 @@
       EXPECT_EQ(planned, expected) << "as the leader plans";
       return;
     }
-    if (what == "served") {  // at_least SHARE, of each class, each team and each class's largest jobs
+    if (what == "served" && words.at(2) == "verdicts") {
+      for (const std::string& verdict : world().served_verdicts()) ADD_FAILURE() << verdict;
+    } else if (what == "served") {  // at_least SHARE, of each class, each team and each class's largest jobs
       for (const Served::Share& share : world().shares())
         EXPECT_GE(share.share(), std::stod(words.at(3))) << share.text();
     } else if (what == "crashes") {  // nothing waits for its moment any more
--- a/tests/standins/history.cpp
+++ b/tests/standins/history.cpp
@@ -77,6 +77,12 @@
   check(job);
 }
 
+void History::on_trouble(Instant now) {
+  for (auto& [unused, job] : jobs_) {
+    if (job.ended && now - job.ended->at < kDoneLag) job.punctual = false;
+  }
+}
+
 std::optional<std::string> History::fault(const Job& job) const {
   const auto asked = [this](Number number) { return entries_.at(number).asked; };
   const auto because = [this](const char* rule, const Bound& first, const Bound& second) {
--- a/tests/standins/history.h
+++ b/tests/standins/history.h
@@ -53,6 +53,8 @@
   void on_answered(Number number, const Answer& answer, Instant now);
   // The job's last task has completed. `punctual`: `done` has to follow within kDoneLag.
   void on_ended(const JobId& job, bool punctual, Instant now);
+  // Something goes wrong with the deployment: what has ended less than kDoneLag ago need not be punctual any more.
+  void on_trouble(Instant now);
 
   // One line a job, with the rule, and the two answers that no register can have given.
   [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -57,6 +57,7 @@
 
   [[nodiscard]] const MachineId& id() const { return id_; }
   [[nodiscard]] std::map<std::pair<TaskKey, AttemptNo>, Attempt>& attempts() { return attempts_; }
+  [[nodiscard]] const std::map<std::pair<TaskKey, AttemptNo>, Attempt>& attempts() const { return attempts_; }
   [[nodiscard]] Term term() const { return term_; }
   [[nodiscard]] SessionNo session() const { return session_; }
   [[nodiscard]] std::size_t killed_by_lease() const { return killed_by_lease_; }
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -21,6 +21,7 @@
 constexpr Millis kLargeFleetStep{250};     // of its workers
 constexpr Millis kPollEvery{2000};
 constexpr std::uint64_t kOverPolls = 8;  // one in so many asks about jobs that are over
+constexpr Millis kSettled{60'000};       // after the last trouble, an end is told in time
 constexpr Millis kLook{500};             // of followers at who leads, for want of a watch
 constexpr Millis kOpenWatch{600};        // a look so soon after a refusal began stands for the watch that was open then
 constexpr double kLateWriteLeast = 2;    // s
@@ -42,7 +43,9 @@
       troubles_luck_(seed + 4),
       now_(Millis(1'000'000)),
       balancer_(nodes),
-      rules_(settings_) {
+      rules_(settings_),
+      served_(settings_.teams) {
+  rules_.on_types(types());
   nodes_.resize(nodes);
   std::size_t most = 0;
   for (const Supply& supply : supplies_) {
@@ -778,6 +781,15 @@
   return id;
 }
 
+void World::withdraw_type(const std::string& type) {
+  for (const auto& [id, machine] : machines_) {
+    if (machine.type == type) throw std::logic_error("a machine of the type: " + id.text());
+  }
+  std::erase_if(supplies_, [&type](const Supply& supply) { return supply.type.name == type; });
+  rules_.on_types(types());
+  for (const Node& node : nodes_) node.engine->on_types(types());
+}
+
 void World::start_up(const std::string& type, const std::string& zone, std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) add_machine(type, zone, false, Millis(0));
 }
@@ -1185,6 +1197,38 @@
   if (done) done_.insert(task);
   where_[task].erase(id);
   rules_.on_gone(task, id, done, now_);
+  const std::uint32_t tasks = submissions_.at(task.job).spec.tasks;
+  std::uint32_t left = 0;
+  for (std::uint32_t index = 0; index < tasks && left == 0; ++index) left += done_.contains({task.job, index}) ? 0 : 1;
+  if (done && left == 0) history_.on_ended(task.job, now_ - rules_.calm_since() > kSettled, now_);
+}
+
+std::vector<std::string> World::broken() const {
+  std::vector<std::string> all = rules_.broken();
+  all.insert(all.end(), history_.broken().begin(), history_.broken().end());
+  return all;
+}
+
+std::vector<Rules::Machine> World::machines_for_rules() const {
+  std::vector<Rules::Machine> found;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.gone || !machine.worker || !machine.worker->alive) continue;
+    const Worker& worker = *machine.worker;
+    const wire::MachineType& type =
+        std::ranges::find(supplies_, machine.type, [](const Supply& supply) { return supply.type.name; })->type;
+    found.push_back({.place = {.machine = id, .type = machine.type, .zone = machine.zone, .spot = machine.spot},
+                     .cpus = type.cpus,
+                     .gpus = type.gpus,
+                     .ram_gb = type.ram_gb,
+                     .tasks = {},
+                     .usable = !machine.cut && now_ >= std::max(machine.deaf_until, machine.mute_until) &&
+                               !worker.hung && !worker.faulty && !worker.taken_at &&
+                               settings_.in_service(machine.zone)});
+    for (const auto& [key, attempt] : worker.attempts()) {
+      if (attempt.state != wire::TaskState::ended) found.back().tasks.push_back(key.first);
+    }
+  }
+  return found;
 }
 
 // ---- users ----
@@ -1202,6 +1246,7 @@
   after(Millis(5000), [this, id, retry] {
     if (std::ranges::find(accepted_, id) == accepted_.end()) retry();
   });
+  const History::Number asked = history_.on_asked(History::Request::submission, id, node, now_);
   call_state<state::TxnResult>(
       node, Duty::users,
       [this, record = state::new_job(submission.spec, wall_ms())](StateStore& store) {
@@ -1209,10 +1254,11 @@
         if (result.answer == Answer::ok) rules_.on_created(record.spec.id);
         return result;
       },
-      [this, id, submission](const state::TxnResult& result) {
+      [this, id, submission, asked](const state::TxnResult& result) {
         if (result.answer != Answer::ok && result.answer != Answer::conflict) return;
         if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
-        rules_.on_accepted(id, now_);
+        rules_.on_accepted(wire::to_value(submission.spec), now_);
+        history_.on_answered(asked, {.status = result.answer == Answer::ok ? 201 : 200, .state = {}}, now_);
         copy_late([this, submission] { submit(submission); });
       });
 }
@@ -1223,6 +1269,7 @@
   const auto retry = [this, id] { after(Millis(1000), [this, id] { cancel(id); }); };
   if (!nodes_[node].alive) return retry();
   after(Millis(5000), [this, id] { cancel(id); });
+  const History::Number asked = history_.on_asked(History::Request::cancellation, id, node, now_);
   struct Seen {
     Answer answer = Answer::none;
     state::GetResult live;
@@ -1233,20 +1280,23 @@
       [id](StateStore& store) {
         return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))};
       },
-      [this, id, node](const Seen& seen) {
+      [this, id, node, asked](const Seen& seen) {
         if (seen.answer != Answer::ok) return;
         if (seen.over.answer == Answer::ok) {
+          const wire::JobState state = state::over_from(id, seen.over.entry.data).state;
           cancelled_.insert(id);
-          return rules_.on_told(id, state::over_from(id, seen.over.entry.data).state, now_);
+          history_.on_answered(asked, {.status = 200, .state = state}, now_);
+          return rules_.on_told(id, state, now_);
         }
-        if (seen.live.answer != Answer::ok) return;
+        if (seen.live.answer != Answer::ok) return history_.on_answered(asked, {.status = 404, .state = {}}, now_);
         call_state<state::TxnResult>(
             node, Duty::users,
             [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](
                 StateStore& store) { return store.txn(txn); },
-            [this, id](const state::TxnResult& result) {
+            [this, id, asked](const state::TxnResult& result) {
               if (result.answer != Answer::ok) return;
               cancelled_.insert(id);
+              history_.on_answered(asked, {.status = 200, .state = wire::JobState::withdrawn}, now_);
               rules_.on_told(id, wire::JobState::withdrawn, now_);
               served_.on_over(id);
               copy_late([this, id] {
@@ -1288,15 +1338,19 @@
     if (!all && rules_.is_over(id)) continue;
     const auto node = balancer_.choose([this](std::size_t one) { return in_users_reach(one); }, users_luck_, now_);
     if (!node || state_out_ || nodes_[*node].cut_from_state || refused(*node) || late(*node, Duty::users)) continue;
+    const History::Number asked = history_.on_asked(History::Request::question, id, *node, now_);
     if (const auto status = ask(id)) {
+      history_.on_answered(asked, {.status = 200, .state = status->state}, now_);
       rules_.on_told(id, status->state, now_);
       if (rules_.is_over(id)) served_.on_over(id);
     } else {
+      history_.on_answered(asked, {.status = 404, .state = {}}, now_);
       rules_.on_told_unknown(id);
     }
   }
   rules_.check(now_);
   rules_.check_answers(now_);
+  rules_.check_waiting(machines_for_rules(), now_);
   for (const Node& node : nodes_) {
     if (!node.alive || !node.engine->leading()) continue;
     if (const auto fault = node.engine->disagreement()) throw std::logic_error("the books disagree: " + *fault);
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -23,6 +23,7 @@
 #include "standby/listener.h"
 #include "standby/teller.h"
 #include "standins/balancer.h"
+#include "standins/history.h"
 #include "standins/rules.h"
 #include "standins/served.h"
 #include "standins/state_store.h"
@@ -61,6 +62,8 @@
   // The pools in force from now on; before the first word of them no node follows the ledger.
   void declare_pools(const std::vector<catalog::PoolDef>& pools);
   void open_windows(bool open) { windows_open_ = open; }
+  // The cloud lists the type no more. There must be no machine of it.
+  void withdraw_type(const std::string& type);
   void start_up(const std::string& type, const std::string& zone, std::size_t count);
   void submit(const Submission& submission);
   void cancel(const JobId& job);
@@ -119,7 +122,9 @@
   // What a user would be told now by some node that is in reach; nothing when there is none.
   [[nodiscard]] std::optional<wire::JobStatus> ask(const JobId& job);
   [[nodiscard]] Rules& rules() { return rules_; }
+  [[nodiscard]] std::vector<std::string> broken() const;  // of rules and of what users were told
   [[nodiscard]] std::vector<Served::Share> shares() const { return served_.shares(now_); }
+  [[nodiscard]] std::vector<std::string> served_verdicts() const { return served_.verdicts(now_); }
   // Decides whether a node that is alive and in reach answers GET /up with 200; by default whether it has heard of the
   // state service lately.
   std::function<bool(std::size_t)> up = [this](std::size_t node) { return hears_state(node); };
@@ -258,7 +263,11 @@
   void repeat(Millis span, std::function<bool()> what);
   void after(Millis span, std::function<void()> what);
   [[nodiscard]] Millis delay();
-  void trouble(double for_s) { rules_.on_trouble(now_ + control::from_seconds(for_s)); }
+  void trouble(double for_s) {
+    rules_.on_trouble(now_ + control::from_seconds(for_s));
+    history_.on_trouble(now_);
+  }
+  [[nodiscard]] std::vector<Rules::Machine> machines_for_rules() const;
   // The node is in the middle of it, and may end here.
   void reached(Moment moment, std::size_t node);
   // Perhaps, if there are late copies.
@@ -371,6 +380,7 @@
   std::vector<JobId> accepted_;
   std::set<JobId> cancelled_;
   Rules rules_;
+  History history_;
   Served served_;
   std::size_t next_machine_ = 0;
   catalog::Set set_;
