Merge the checks into the emulated world: what users ask and are told goes through one place

The history is told of every request that a user makes at a node, with the answer if it reached the user; a job that fits no machine type any more is made by withdraw_type, so by_old_types is gone.

--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -21,6 +21,7 @@
 constexpr Millis kLargeFleetStep{250};     // of its workers
 constexpr Millis kPollEvery{2000};
 constexpr std::uint64_t kOverPolls = 8;  // one in so many asks about jobs that are over
+constexpr Millis kSettled{60'000};       // after the last trouble, an end is told in time
 constexpr Millis kLook{500};             // of followers at who leads, for want of a watch
 constexpr Millis kOpenWatch{600};        // a look so soon after a refusal began stands for the watch that was open then
 constexpr double kLateWriteLeast = 2;    // s
@@ -53,7 +54,9 @@
       troubles_luck_(seed + 4),
       now_(Millis(1'000'000)),
       balancer_(nodes),
-      rules_(settings_) {
+      rules_(settings_),
+      served_(settings_.teams) {
+  rules_.on_types(types());
   nodes_.resize(nodes);
   std::size_t most = 0;
   for (const Supply& supply : supplies_) {
@@ -795,6 +798,15 @@
   return id;
 }
 
+void World::withdraw_type(const std::string& type) {
+  for (const auto& [id, machine] : machines_) {
+    if (machine.type == type) throw std::logic_error("a machine of the type: " + id.text());
+  }
+  std::erase_if(supplies_, [&type](const Supply& supply) { return supply.type.name == type; });
+  rules_.on_types(types());
+  for (const Node& node : nodes_) node.engine->on_types(types());
+}
+
 void World::start_up(const std::string& type, const std::string& zone, std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) add_machine(type, zone, false, Millis(0));
 }
@@ -1236,6 +1248,7 @@
   const bool completed = done && done_.insert(task).second;
   where_[task].erase(id);
   rules_.on_gone(task, id, done, now_);
+  if (completed && all_done(task.job)) history_.on_ended(task.job, now_ - rules_.calm_since() > kSettled, now_);
   if (completed && now_ < close_looks_until_ && all_done(task.job)) look_closely(task.job);
   if (completed && now_ < cancels_at_end_.until && all_done(task.job) && lucky(cancels_at_end_.share)) {
     ++struck_["cancel_at_end"];
@@ -1243,13 +1256,51 @@
   }
 }
 
+std::vector<std::string> World::broken() const {
+  std::vector<std::string> all = rules_.broken();
+  all.insert(all.end(), history_.broken().begin(), history_.broken().end());
+  return all;
+}
+
+std::vector<Rules::Machine> World::machines_for_rules() const {
+  std::vector<Rules::Machine> found;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.gone || !machine.worker || !machine.worker->alive) continue;
+    const Worker& worker = *machine.worker;
+    const wire::MachineType& type =
+        std::ranges::find(supplies_, machine.type, [](const Supply& supply) { return supply.type.name; })->type;
+    found.push_back({.place = {.machine = id, .type = machine.type, .zone = machine.zone, .spot = machine.spot},
+                     .cpus = type.cpus,
+                     .gpus = type.gpus,
+                     .ram_gb = type.ram_gb,
+                     .tasks = {},
+                     .usable = !machine.cut && now_ >= std::max(machine.deaf_until, machine.mute_until) &&
+                               !worker.hung && !worker.faulty && !worker.taken_at &&
+                               settings_.in_service(machine.zone)});
+    for (const auto& [key, attempt] : worker.attempts()) {
+      if (attempt.state != wire::TaskState::ended) found.back().tasks.push_back(key.first);
+    }
+  }
+  return found;
+}
+
 // ---- users ----
 
-void World::serve(std::size_t node, std::shared_ptr<user_api::Request> request, Millis limit, Heard then) {
+History::Answer World::told_by(const user_api::Reply& reply) {
+  History::Answer answer{.status = reply.status, .state = {}};
+  if (reply.status == 200 || reply.status == 201) answer.state = wire::job_status_from(reply.body).state;
+  return answer;
+}
+
+void World::serve(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> request, Millis limit,
+                  Heard then) {
   const Instant until = now_ + limit;
-  const auto step = [this, node, request, until, then](const auto& self) -> void {
+  const History::Number number = history_.on_asked(asked.request, asked.job, node, now_);
+  const auto step = [this, node, number, request, until, then](const auto& self) -> void {
     if (const auto* reply = request->reply()) {
-      if (now_ <= until) then(*reply);
+      if (now_ > until || !in_users_reach(node)) return;
+      history_.on_answered(number, told_by(*reply), now_);
+      then(*reply);
       return;
     }
     if (const auto* read = std::get_if<user_api::Request::Read>(&request->step())) {
@@ -1302,18 +1353,13 @@
   after(kSubmitLimit, [this, id, retry] {
     if (!is_accepted(id)) retry();
   });
-  user_api::Known known = this->known(node);
-  const wire::JobSpec& spec = submission.spec;
-  if (submission.by_old_types) {
-    known.types.push_back({.name = "old", .cpus = spec.cpus, .gpus = spec.gpus, .ram_gb = spec.ram_gb});
-  }
-  const std::string body = wire::encode(wire::to_value(spec));
-  serve(node, std::make_shared<user_api::Request>(user_api::Request::submission(known, body)), kSubmitLimit,
-        [this, id, submission](const user_api::Reply& reply) {
+  const wire::Value sent = wire::to_value(submission.spec);
+  serve(node, {History::Request::submission, id}, this->submission(node, sent), kSubmitLimit,
+        [this, id, submission, sent](const user_api::Reply& reply) {
           if (reply.status != 200 && reply.status != 201) return;
           const bool fresh = !is_accepted(id);
           if (fresh) accepted_.push_back(id);
-          rules_.on_accepted(id, now_);
+          rules_.on_accepted(sent, now_);
           copy_late([this, submission] { submit(submission); });
           if (fresh) look_closely(id);
         });
@@ -1326,26 +1372,28 @@
   if (!nodes_[node].alive) return retry();
   after(kSubmitLimit, [this, id, at] { cancel(id, at); });
   auto request = std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text()));
-  serve(node, std::move(request), kSubmitLimit, [this, id](const user_api::Reply& reply) {
-    if (reply.status != 200) return;
-    const bool fresh = cancelled_.insert(id).second;
-    const wire::JobState state = wire::job_status_from(reply.body).state;
-    rules_.on_told(id, state, now_);
-    if (state != wire::JobState::withdrawn) return;
-    served_.on_over(id);
-    copy_late([this, id] {
-      cancelled_.erase(id);
-      cancel(id);
-    });
-    if (fresh) look_closely(id);
-  });
+  serve(node, {History::Request::cancellation, id}, std::move(request), kSubmitLimit,
+        [this, id](const user_api::Reply& reply) {
+          if (reply.status != 200) return;
+          const bool fresh = cancelled_.insert(id).second;
+          const wire::JobState state = wire::job_status_from(reply.body).state;
+          rules_.on_told(id, state, now_);
+          if (state != wire::JobState::withdrawn) return;
+          served_.on_over(id);
+          copy_late([this, id] {
+            cancelled_.erase(id);
+            cancel(id);
+          });
+          if (fresh) look_closely(id);
+        });
 }
 
-void World::request(std::size_t node, const JobId& id, std::shared_ptr<user_api::Request> made) {
+void World::request(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> made) {
+  const JobId& id = asked.job;
   const bool accepted = is_accepted(id);
   const bool over = rules_.is_over(id);
-  serve(node, std::move(made), kPollLimit, [this, node, id, accepted, over](const user_api::Reply& reply) {
-    if (!in_users_reach(node) || reply.status == 503) return;
+  serve(node, asked, std::move(made), kPollLimit, [this, id = id, accepted, over](const user_api::Reply& reply) {
+    if (reply.status == 503) return;
     if (reply.status != 200 && reply.status != 201) {
       if (accepted) rules_.on_told_unknown(id);
       return;
@@ -1376,10 +1424,12 @@
   const wire::JobSpec& spec = submissions_.at(id).spec;
   if (lucky(0.5)) return submit_oddly(node, spec);
   if (rules_.is_over(id)) {
-    request(node, id, std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text())));
+    request(node, {History::Request::cancellation, id},
+            std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text())));
     return;
   }
-  request(node, id, submission(node, lucky(0.3) ? without_a_field(spec) : wire::to_value(spec)));
+  request(node, {History::Request::submission, id},
+          submission(node, lucky(0.3) ? without_a_field(spec) : wire::to_value(spec)));
 }
 
 // All that is left out where it may be, and another field as well.
@@ -1410,10 +1460,11 @@
   } else {
     body = without_a_field(spec);
   }
-  serve(node, submission(node, body), kSubmitLimit, [this, id = spec.id](const user_api::Reply& reply) {
-    // Nobody has submitted it in a form that could run.
-    if (reply.status == 200 || reply.status == 201) rules_.on_told(id, wire::JobState::pending, now_);
-  });
+  serve(node, {History::Request::submission, spec.id}, submission(node, body), kSubmitLimit,
+        [this, id = spec.id](const user_api::Reply& reply) {
+          // Nobody has submitted it in a form that could run.
+          if (reply.status == 200 || reply.status == 201) rules_.on_told(id, wire::JobState::pending, now_);
+        });
 }
 
 void World::close_looks(double for_s) {
@@ -1429,9 +1480,12 @@
         if (!in_users_reach(node)) return;
         ++struck_["close_looks"];
         const bool repeats = lucky(0.3);
-        request(node, id,
-                repeats ? submission(node, wire::to_value(submissions_.at(id).spec))
-                        : std::make_shared<user_api::Request>(user_api::Request::question(known(node), id.text())));
+        if (repeats) {
+          request(node, {History::Request::submission, id}, submission(node, wire::to_value(submissions_.at(id).spec)));
+        } else {
+          request(node, {History::Request::question, id},
+                  std::make_shared<user_api::Request>(user_api::Request::question(known(node), id.text())));
+        }
       });
     }
   }
@@ -1468,15 +1522,19 @@
     if (!all && rules_.is_over(id)) continue;
     const auto node = balancer_.choose([this](std::size_t one) { return in_users_reach(one); }, users_luck_, now_);
     if (!node || state_out_ || nodes_[*node].cut_from_state || refused(*node) || late(*node, Duty::users)) continue;
+    const History::Number asked = history_.on_asked(History::Request::question, id, *node, now_);
     if (const auto status = ask(id)) {
+      history_.on_answered(asked, {.status = 200, .state = status->state}, now_);
       rules_.on_told(id, status->state, now_);
       if (rules_.is_over(id)) served_.on_over(id);
     } else {
+      history_.on_answered(asked, {.status = 404, .state = {}}, now_);
       rules_.on_told_unknown(id);
     }
   }
   rules_.check(now_);
   rules_.check_answers(now_);
+  rules_.check_waiting(machines_for_rules(), now_);
   for (const Node& node : nodes_) {
     if (!node.alive || !node.engine->leading()) continue;
     if (const auto fault = node.engine->disagreement()) throw std::logic_error("the books disagree: " + *fault);
