--- a/tests/unit/meetings_test.cpp
+++ b/tests/unit/meetings_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "control/engine.h"
+#include "standins/state_store.h"
 
 namespace foxshunt::control {
 namespace {
@@ -154,5 +155,190 @@
   EXPECT_TRUE(engine_.jobs().contains(over.id));
 }
 
+// Leaders, users and a state service that carries a transaction out when the test says so.
+class MeetingsAtTheStore : public Meetings {
+ protected:
+  MeetingsAtTheStore() : next_(settings()) { next_.on_types(engine_.types()); }
+
+  void take_lead(Engine& engine, const NodeName& node) {
+    const state::LeadView view = state::lead_view(store_.get(state::kHolderKey), store_.get(state::kTermKey));
+    const state::LeaseId lease = store_.grant(Millis(4000), now_);
+    const state::TxnResult taken = store_.txn(state::take_lead_txn(view, node, lease, 0));
+    ASSERT_EQ(taken.answer, state::Answer::ok);
+    Takeover takeover;
+    takeover.term = view.record.term.next();
+    takeover.term_mark = taken.revision;
+    takeover.others_until = now_;
+    takeover.live = store_.list(state::kLivePrefix).entries;
+    takeover.linger = store_.list(state::kLingerPrefix).entries;
+    engine.lead(takeover, now_);
+    engine.confirm_lease(now_);
+    engine.confirm_reading(now_);
+  }
+
+  state::TxnResult submit(const wire::JobSpec& spec) { return store_.txn(state::accept_txn(state::new_job(spec, 0))); }
+
+  // What the leader's watch tells.
+  void follow(Engine& engine) {
+    const state::FollowResult news = store_.follow(state::kLivePrefix, seen_);
+    for (const state::Event& event : news.events) {
+      const JobId id = *state::job_of_key(event.key);
+      if (event.data) {
+        engine.on_job_record(id, *event.data, event.mark, 0, now_);
+      } else {
+        engine.on_job_removed(id, now_);
+      }
+    }
+    seen_ = news.revision;
+  }
+
+  std::optional<std::vector<wire::Command>> report_to(Engine& engine, std::vector<wire::TaskReport> tasks = {}) {
+    wire::Report made;
+    made.machine = kFirst;
+    made.address = "127.0.0.1:1";
+    made.type = "plain";
+    made.zone = "a";
+    made.session = SessionNo(1);
+    made.sequence = ++sequence_;
+    made.term = engine.term();
+    made.tasks = std::move(tasks);
+    return engine.on_report(made, now_);
+  }
+
+  // The write that the engine wants next; what becomes of it is the test's.
+  WriteBatch written(Engine& engine) {
+    const auto batch = engine.begin_write(now_);
+    EXPECT_TRUE(batch);
+    return batch.value_or(WriteBatch{});
+  }
+  void carry_out(Engine& engine) {
+    const WriteBatch batch = written(engine);
+    engine.end_write(batch, store_.txn(batch.txn), now_);
+  }
+  void lose_answer(Engine& engine, const WriteBatch& batch) {
+    engine.end_write(batch, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
+  }
+  static bool starts(const std::optional<std::vector<wire::Command>>& commands) {
+    return commands && std::ranges::any_of(
+                           *commands, [](const wire::Command& command) { return command.kind == CommandKind::run; });
+  }
+  [[nodiscard]] bool is_live() const { return store_.get(state::live_key(kJob)).answer == state::Answer::ok; }
+
+  standins::StateStore store_;
+  Engine next_;
+  Revision seen_;
+  std::uint64_t sequence_ = 0;
+};
+
+// New machines get work at once while writes lag, and the leader ends: its placement is carried out when its successor has
+// taken the lead and read the records, which know of none.
+TEST_F(MeetingsAtTheStore, APlacementThatLagsIsRefusedOnceTheNextLeads) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch late = written(engine_);
+  lose_answer(engine_, late);
+  EXPECT_FALSE(starts(report_to(engine_))) << "it may never be written";
+  store_.expire(now_ + Millis(9000));
+  take_lead(next_, NodeName("node-1"));
+  EXPECT_EQ(store_.txn(late.txn).answer, state::Answer::conflict);
+  (void)report_to(next_);
+  next_.plan_pass(now_);
+  carry_out(next_);
+  EXPECT_TRUE(starts(report_to(next_))) << "written at once, as nothing came between";
+}
+
+// A transaction without an answer is carried out after newer ones of the same controller: the job has run and is over.
+TEST_F(MeetingsAtTheStore, APlacementThatLagsBringsNothingBackThatIsOver) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch late = written(engine_);
+  lose_answer(engine_, late);
+  carry_out(engine_);
+  ASSERT_TRUE(starts(report_to(engine_)));
+  (void)report_to(engine_, {task(0, TaskState::ended, EndReason::done)});
+  carry_out(engine_);
+  ASSERT_FALSE(is_live());
+  EXPECT_EQ(store_.txn(late.txn).answer, state::Answer::conflict);
+  EXPECT_FALSE(is_live()) << "it would run again, and its user would hear that it waits";
+}
+
+// Only the answer is lost, and others read what was written: the next write meets it, reads it again, and goes on from there.
+TEST_F(MeetingsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch first = written(engine_);
+  ASSERT_EQ(store_.txn(first.txn).answer, state::Answer::ok);
+  lose_answer(engine_, first);
+  carry_out(engine_);
+  EXPECT_FALSE(starts(report_to(engine_))) << "what is there has not been looked at";
+  const auto reload = engine_.next_reload();
+  ASSERT_TRUE(reload);
+  engine_.on_reloaded(*reload, store_.get(reload->key()).entry.mark, now_);
+  carry_out(engine_);
+  EXPECT_TRUE(starts(report_to(engine_)));
+}
+
+// A user's cancellation is carried out late, when the job that it read as waiting runs: it would leave no word of the task.
+// The repeated one does, and the next leader knows of it.
+TEST_F(MeetingsAtTheStore, ACancellationThatLagsMissesNoPlacement) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  const state::Txn late = state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark);
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  carry_out(engine_);
+  ASSERT_TRUE(starts(report_to(engine_)));
+  EXPECT_EQ(store_.txn(late).answer, state::Answer::conflict);
+  const state::GetResult runs = store_.get(state::live_key(kJob));
+  ASSERT_EQ(runs.answer, state::Answer::ok);
+  EXPECT_EQ(store_.txn(state::withdraw_txn(state::job_from(runs.entry.data), runs.entry.mark)).answer,
+            state::Answer::ok);
+  store_.expire(now_ + Millis(9000));
+  take_lead(next_, NodeName("node-1"));
+  ASSERT_TRUE(next_.jobs().contains(kJob)) << "nobody would stop its task, nor count it";
+  EXPECT_EQ(next_.jobs().at(kJob).runs_count, 1U);
+  const auto answer = report_to(next_, {task(0, TaskState::running)});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(std::ranges::count(*answer, CommandKind::halt, &wire::Command::kind), 1);
+}
+
+// A cancellation is confirmed while a placement is on its way: the placement fails, and is never started.
+TEST_F(MeetingsAtTheStore, APlacementMeetsAConfirmedCancellation) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  seen_ = store_.revision();
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch batch = written(engine_);
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  ASSERT_EQ(store_.txn(state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark)).answer,
+            state::Answer::ok);
+  engine_.end_write(batch, store_.txn(batch.txn), now_);
+  EXPECT_FALSE(starts(report_to(engine_)));
+  EXPECT_FALSE(is_live()) << "called off for its user, it would run";
+  follow(engine_);
+  if (const auto reload = engine_.next_reload()) engine_.on_reloaded(*reload, std::nullopt, now_);
+  EXPECT_FALSE(starts(report_to(engine_)));
+  EXPECT_EQ(engine_.jobs().contains(kJob) ? engine_.jobs().at(kJob).runs_count : 0, 0U);
+}
+
+// A submission without an answer is carried out when the repeated one has been accepted and its job is over.
+TEST_F(MeetingsAtTheStore, ASubmissionThatLagsIsRefusedOnceItsJobIsOver) {
+  const state::Txn late = state::accept_txn(state::new_job(job_of(1), 0));
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  ASSERT_EQ(store_.txn(state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark)).answer,
+            state::Answer::ok);
+  EXPECT_EQ(store_.txn(late).answer, state::Answer::conflict);
+  EXPECT_FALSE(is_live());
+}
+
 }  // namespace
 }  // namespace foxshunt::control
