--- a/tests/long-days.sh
+++ b/tests/long-days.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Plays the tests that take too long for CI (those whose names begin with DISABLED_): long days of 1,260 machines in virtual
-# time, whose shares of served work it prints, and many small days with quick crashes. A broken rule fails it. Outside CI, in one
-# process at a time, after the build that README.md tells; what came of it is written to tests/long-days.result.txt.
-# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick ones
+# time, whose shares of served work it prints, many small days with quick crashes and with meetings of troubles, and all moments
+# of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a time, after the
+# build that README.md tells; what came of it is written to tests/long-days.result.txt.
+# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick and meeting ones
 set -euo pipefail
 cd "$(dirname "$0")/.."
 program=target/tests/scenario_tests
@@ -11,6 +12,8 @@
 declare -A days=(
   [LargeDays.DISABLED_Long]="${1:-1} ${2:-10} ${3:-900}"
   [ManyQuickDays.DISABLED_KeepTheRules]="${4:-101} ${5:-1000}"
+  [ManyMeetingDays.DISABLED_KeepTheRules]="${4:-201} ${5:-2000}"
+  [RefusedAloneAtAllMoments.DISABLED_CancelledTasksAreGoneInTime]=""
 )
 # All there are, so that none is forgotten.
 all="$($program --gtest_list_tests | awk '/^[^ ]/ {suite = $1} /^  DISABLED_/ {print suite $1}' | sort)"
@@ -37,7 +40,7 @@
     verdict="failed${seeds:+, seeds $seeds}"
   }
   grep -q '\[  PASSED  \] 1 test' "$output" || [[ $verdict != passed ]] || { code=1; verdict="not run"; }
-  echo "$name: seeds $first to $last${seconds:+ of $seconds s}: $verdict; took $((SECONDS - began)) s" >>"$result"
+  echo "$name: ${first:+seeds $first to $last${seconds:+ of $seconds s}: }$verdict; took $((SECONDS - began)) s" >>"$result"
 done
 cat "$result"
 exit $code
