--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -182,6 +182,42 @@
       {.node = NodeName("node-1"), .life = 1, .sequence = 99, .term = Term(6), .holds = {}, .uses = {}}, now_));
 }
 
+// A write that failed on the job's record may have met a cancellation: until the record was read again nobody else may
+// answer the machines of its tasks.
+TEST_F(Leading, GrantsNothingForMachinesOfAJobWhoseRecordHasToBeReadAgain) {
+  lead({placed_on(kSecond, job_of(2))});
+  (void)report(kSecond, 1, Term(7), {task(0, TaskState::running)});
+  zone::Ask ask{.node = NodeName("node-1"), .life = 1, .term = Term(7), .holds = {}, .uses = {}};
+  const auto left_out = [&] {
+    ++ask.sequence;
+    const auto grant = engine_.on_ask(ask, now_);
+    return grant && std::ranges::find(grant->except, kSecond) != grant->except.end();
+  };
+  engine_.plan_pass(now_);
+  const auto batch = engine_.begin_write(now_);
+  ASSERT_TRUE(batch);
+  EXPECT_FALSE(left_out());
+  engine_.end_write(*batch, {.answer = state::Answer::conflict, .revision = {}, .failed = {state::live_key(kJob)}},
+                    now_);
+  EXPECT_TRUE(left_out());
+  const auto reload = engine_.next_reload();
+  ASSERT_TRUE(reload);
+  engine_.on_reloaded(*reload, Revision(3), now_);
+  EXPECT_FALSE(left_out());
+}
+
+// A report of the session before, held up until a new leader has begun, tells of an attempt that has ended there. What the
+// record places in the later session is another start of it, and runs.
+TEST_F(Leading, AnEarlierSessionsReportEndsNothing) {
+  wire::JobSpec spec = job_of(1);
+  state::JobRecord record = state::new_job(spec, 0);
+  record.whole->next = AttemptNo(2);
+  record.whole->runs = {{.index = 0, .attempt = AttemptNo(1), .machine = kFirst, .session = SessionNo(2)}};
+  lead({{.key = state::live_key(spec.id), .data = state::to_value(record), .mark = Revision(2)}});
+  ASSERT_TRUE(report(kFirst, 50, Term(6), {task(0, TaskState::ended, EndReason::done)}));
+  EXPECT_EQ(placed(), 1U);
+}
+
 // Invariant 6: a report that was overtaken teaches nothing, and its answer starts nothing.
 TEST_F(Leading, LearnsNothingFromAnOlderReport) {
   lead();
