--- a/tests/scenarios/refusal_days_test.cpp
+++ b/tests/scenarios/refusal_days_test.cpp
@@ -17,8 +17,10 @@
 
 #ifdef FOXSHUNT_SMALL_DAYS
 constexpr std::size_t kSamples = 40;  // of a seed
+constexpr unsigned kDays = 10;
 #else
 constexpr std::size_t kSamples = 300;
+constexpr unsigned kDays = 60;
 #endif
 constexpr double kRefused = 12;    // s; the first moment: all that is to run runs by then
 constexpr double kSettles = 20;    // s after the outage
@@ -127,6 +129,26 @@
   return settings;
 }
 
+// What is played is watched with LOG_LEVEL=info.
+void log_if_asked() {
+  spdlog::set_level(std::getenv("LOG_LEVEL") == nullptr ? spdlog::level::off
+                                                        : spdlog::level::from_str(std::getenv("LOG_LEVEL")));
+}
+
+std::vector<Supply> supplies() {
+  return {{.type = {.name = "plain",
+                    .cpus = 8,
+                    .ram_gb = 64,
+                    .cache_gb = 50,
+                    .fetch_gb_per_s = 0.5,
+                    .price = 1,
+                    .spot_price = 0.3,
+                    .boot_s = 15,
+                    .zones = {"a", "b", "c"}},
+           .each_zone = 4,
+           .spot_each_zone = 0}};
+}
+
 void submit(World& world, double when_s, const JobId& id, wire::JobKind kind, std::uint32_t tasks, double run_s) {
   Submission submission;
   wire::JobSpec& spec = submission.spec;
@@ -169,25 +191,11 @@
 };
 
 Outcome play(const Meeting& meeting, unsigned seed) {
-  // A meeting is watched with LOG_LEVEL=info.
-  spdlog::set_level(std::getenv("LOG_LEVEL") == nullptr ? spdlog::level::off
-                                                        : spdlog::level::from_str(std::getenv("LOG_LEVEL")));
+  log_if_asked();
   SCOPED_TRACE(meeting.text() + ", seed " + std::to_string(seed));
   const config::Settings settings = settings_of(meeting);
   const Moments when(meeting, settings);
-  World world(settings,
-              {{.type = {.name = "plain",
-                         .cpus = 8,
-                         .ram_gb = 64,
-                         .cache_gb = 50,
-                         .fetch_gb_per_s = 0.5,
-                         .price = 1,
-                         .spot_price = 0.3,
-                         .boot_s = 15,
-                         .zones = {"a", "b", "c"}},
-                .each_zone = 4,
-                .spot_each_zone = 0}},
-              3, seed);
+  World world(settings, supplies(), 3, seed);
   world.drift_workers(1 + meeting.drift * kDrift);
   for (const char* zone : {"a", "b", "c"}) world.start_up("plain", zone, 3);
   submit(world, 1, kService, wire::JobKind::service, 3, 1e6);
@@ -323,6 +331,103 @@
   return [&random](int below) { return std::uniform_int_distribution<int>(0, below - 1)(random); };
 }
 
+// A day of refusals, outages and cancellations at any moments, on all paths, with other troubles among them.
+void play_day(unsigned seed) {
+  log_if_asked();
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  std::mt19937 random(seed * 7919U);
+  const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
+  Meeting spans;
+  spans.long_spans = pick(0, 1) == 1;
+  spans.grants = pick(0, 1) == 1;
+  spans.standby = pick(0, 1) == 1;
+  const config::Settings settings = settings_of(spans);
+  World world(settings, supplies(), 3, seed);
+  world.drift_workers(1 + pick(-1, 1) * kDrift);
+  for (const char* zone : {"a", "b", "c"}) world.start_up("plain", zone, 3);
+  struct Refusal {
+    double at = 0;
+    double gap = 0;  // before the outage
+  };
+  std::vector<Refusal> refusals;
+  for (int i = pick(1, 2); i > 0; --i) refusals.push_back({.at = pick(300, 2000) / 20.0, .gap = pick(2, 80) / 10.0});
+  std::vector<JobId> cancelled;
+  for (int i = 0; i < 9; ++i) {
+    const JobId id("j-00001" + std::to_string(i));
+    const auto kind =
+        std::array{wire::JobKind::service, wire::JobKind::array, wire::JobKind::gang}[static_cast<std::size_t>(i % 3)];
+    const double began = pick(10, 100) / 10.0;
+    submit(world, began, id, kind, static_cast<std::uint32_t>(pick(1, 3)), pick(20, 200));
+    if (kind != wire::JobKind::service && pick(0, 1) == 0) continue;
+    cancelled.push_back(id);
+    const Refusal& near = refusals[static_cast<std::size_t>(i) % refusals.size()];
+    world.at(near.at + near.gap * pick(0, 110) / 100.0,
+             [&world, id, at = static_cast<std::size_t>(pick(0, 2))] { world.cancel(id, at); });
+  }
+  for (const Refusal& refusal : refusals) {
+    const auto around = [&] { return refusal.at + pick(-20, 200) / 10.0; };
+    world.at(refusal.at,
+             [&world, for_s = pick(10, 900) / 10.0] { world.refuse_state(world.leader().value_or(0), for_s); });
+    if (pick(0, 3) > 0) {
+      world.at(refusal.at + refusal.gap,
+               [&world, for_s = settings.cancel_s + pick(-100, 200) / 10.0] { world.state_outage(for_s); });
+    }
+    if (pick(0, 1) == 0) {
+      world.at(around(), [&world, for_s = pick(10, 900) / 10.0] { world.cut_siblings(for_s); });
+    }
+    if (pick(0, 2) == 0) {
+      world.at(around(), [&world, for_s = pick(10, 900) / 10.0] {
+        world.cut_node_from_workers(world.leader().value_or(0), for_s);
+      });
+    }
+  }
+  for (int i = pick(0, 3); i > 0; --i) {
+    const double at = pick(300, 2000) / 20.0;
+    const auto node = static_cast<std::size_t>(pick(0, 2));
+    const double for_s = pick(1, 300) / 10.0;
+    switch (pick(0, 7)) {
+      case 0: world.at(at, [&world, node, for_s] { world.crash(node, std::min(for_s, 6.0)); }); break;
+      case 1: world.at(at, [&world] { world.crash(world.leader().value_or(0), 0.1); }); break;
+      case 2: world.at(at, [&world, for_s] { world.late_writes(0.3, for_s, false); }); break;
+      case 3: world.at(at, [&world, for_s] { world.late_reports(0.3, for_s, false); }); break;
+      case 4: world.at(at, [&world, for_s] { world.late_reports(0.3, for_s, true); }); break;
+      case 5:
+        for (std::size_t duty = 0; duty < kDutyNames.size(); ++duty) {
+          world.at(at, [&world, for_s, duty] {
+            world.delay_duty(world.leader().value_or(0), static_cast<Duty>(duty), for_s);
+          });
+        }
+        break;
+      case 6:
+        world.at(at, [&world, for_s] {
+          for (const MachineId& id : world.some_machines(0.3)) world.hang(id, for_s);
+        });
+        break;
+      default: world.at(at, [&world, for_s, hold = pick(0, 1) == 0] { world.cut_zone("b", for_s, hold); }); break;
+    }
+  }
+  world.run_until(400);
+  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  EXPECT_EQ(world.accepted().size(), 9U);
+  for (const JobId& id : cancelled) {
+    const auto status = world.ask(id);
+    EXPECT_TRUE(status && (status->state == wire::JobState::withdrawn || status->state == wire::JobState::done))
+        << id.text();
+  }
+}
+
+class RefusalDays : public testing::TestWithParam<unsigned> {};
+TEST_P(RefusalDays, KeepTheRules) {
+  for (unsigned seed = GetParam(); seed < GetParam() + kDays; ++seed) play_day(seed);
+}
+
+// For tests/long-days.sh.
+TEST(ManyRefusalDays, DISABLED_KeepTheRules) {
+  for (unsigned seed = 1001; seed <= 4000; ++seed) play_day(seed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RefusalDays, testing::Values(1U, 101U));
+
 class RefusedAlone : public testing::TestWithParam<unsigned> {};
 TEST_P(RefusedAlone, CancelledTasksAreGoneInTime) {
   std::mt19937 random(GetParam());
