Clocks of the emulated world may drift

Need: PROTOCOL lets steady clocks drift apart by 0.05%; in the world all showed the same.

The time of day does not drift. Without drift the times are the same as before.

--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -287,7 +287,10 @@
     return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random)];
   };
   if (kind == Kind::quick || (meetings && seed % 7 == 0)) add_quick_crashes(world, nodes, pick);
-  if (meetings) add_meetings(world, nodes, pick);
+  if (meetings) {
+    if (seed % 2 == 1) world.let_clocks_drift(0.0005);
+    add_meetings(world, nodes, pick);
+  }
   if (with_catalog) watch_catalog(world, nodes, pick);
   if (zone_troubles) {
     for (int i = pick(1, 3); i > 0; --i) {
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -126,6 +126,8 @@
       read_class(words);
     else if (verb == "shared_fetches")
       world().let_fetches_share();
+    else if (verb == "drift")
+      world().let_clocks_drift(std::stod(words.at(1)));
     else if (verb == "calendar")
       read_calendar(words);
     else if (verb == "up")
@@ -563,6 +565,8 @@
       }
     } else if (what == "struck") {  // TROUBLE at_least N, by its command
       EXPECT_GE(world().struck(words.at(2)), std::stoul(words.at(4)));
+    } else if (what == "clocks") {  // apart SECONDS, at least
+      EXPECT_GE(world().clocks_apart_s(), std::stod(words.at(3)));
     } else if (what == "leader") {
       ASSERT_TRUE(world().leader());
       if (words.at(2) != "any") {
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -98,7 +98,7 @@
   self.asking_standby = false;
   self.hints_wanted_until.reset();
   if (set_.version != catalog::Version{}) self.pools = std::make_unique<PoolSide>(*this);
-  if (catalog_) self.engine->on_catalog(*catalog_, wall_ms(), now_);
+  if (catalog_) self.engine->on_catalog(*catalog_, wall_ms(), time_of(node));
 }
 
 bool World::parted(const std::string& one, const std::string& other) const {
@@ -120,6 +120,24 @@
   return kWallStart + (Instant(Millis(1'000'000)) + from_seconds(when_s)).time_since_epoch().count();
 }
 
+void World::let_clocks_drift(double share) {
+  drift_ = share;
+  for (Node& node : nodes_) node.drift = lucky(0.5) ? share : -share;
+  for (auto& [unused, machine] : machines_) machine.drift = lucky(0.5) ? share : -share;
+}
+
+Instant World::by_clock(double drift, Instant when) {
+  const auto since = static_cast<double>((when - Instant(Millis(1'000'000))).count());
+  return when + Millis(std::llround(since * drift));
+}
+
+double World::clocks_apart_s() const {
+  std::set<Instant> clocks;
+  for (std::size_t node = 0; node < nodes_.size(); ++node) clocks.insert(time_of(node));
+  for (const auto& [unused, machine] : machines_) clocks.insert(time_of(machine));
+  return control::to_seconds(*clocks.rbegin() - *clocks.begin());
+}
+
 std::int64_t World::wall_ms() const { return kWallStart + now_.time_since_epoch().count(); }
 
 void World::at(double when_s, std::function<void()> what) {
@@ -250,9 +268,9 @@
   if (self.calendar && !late(node, Duty::writes)) calendar_duty(node);
   if (self.engine->leading()) {
     if (!late(node, Duty::planning)) {
-      self.engine->tick(now_);
+      self.engine->tick(time_of(node));
       // A step may fall between two portions of a pass.
-      if (self.engine->plan_wanted()) (void)self.engine->plan_some(now_, places_per_step_);
+      if (self.engine->plan_wanted()) (void)self.engine->plan_some(time_of(node), places_per_step_);
     }
     if (!late(node, Duty::records)) follow_duty(node);
     if (!late(node, Duty::writes)) write_duty(node);
@@ -300,7 +318,7 @@
     return;
   }
   self.asking = true;
-  const zone::Ask ask = self.holder.next_ask(self.term_seen, now_);
+  const zone::Ask ask = self.holder.next_ask(self.term_seen, time_of(node));
   const auto reaches_leader = [this, node, leader] { return hears(*leader, node); };
   const auto given_up = [this, node, life = self.life] {
     if (nodes_[node].life != life) return;
@@ -314,15 +332,15 @@
     // Held up, the word arrives when the cut is over, and nobody waits for its answer.
     return repeat(kStep, [this, leader, ask, reaches_leader] {
       if (!reaches_leader()) return false;
-      (void)nodes_[*leader].engine->on_ask(ask, now_);
+      (void)nodes_[*leader].engine->on_ask(ask, time_of(*leader));
       return true;
     });
   }
   copy_late([this, leader, ask] {
-    if (nodes_[*leader].alive) (void)nodes_[*leader].engine->on_ask(ask, now_);
+    if (nodes_[*leader].alive) (void)nodes_[*leader].engine->on_ask(ask, time_of(*leader));
   });
-  after(kWordDelay, [this, node, leader, ask, asked = now_, life = self.life, given_up] {
-    const auto grant = nodes_[*leader].engine->on_ask(ask, now_);
+  after(kWordDelay, [this, node, leader, ask, asked = time_of(node), life = self.life, given_up] {
+    const auto grant = nodes_[*leader].engine->on_ask(ask, time_of(*leader));
     if (grant) reached(Moment::grant, *leader);
     if (!nodes_[*leader].alive || !grant) return after(kWordDelay, given_up);
     after(kWordDelay, [this, node, leader, grant, asked, life, given_up] {
@@ -345,11 +363,12 @@
 std::optional<std::string> World::standby_word(std::size_t node, const standby::Ask& ask) {
   Node& self = nodes_[node];
   if (!self.alive || (self.hints_wanted_until && now_ < *self.hints_wanted_until)) return std::nullopt;
-  if (self.teller->wants_picture(now_)) {
-    auto picture = self.engine->leading() ? std::optional(self.engine->soft_state(now_)) : self.listener->picture(now_);
+  if (self.teller->wants_picture(time_of(node))) {
+    auto picture = self.engine->leading() ? std::optional(self.engine->soft_state(time_of(node)))
+                                          : self.listener->picture(time_of(node));
     if (picture) self.teller->show(std::move(*picture));
   }
-  const auto word = self.teller->tell(ask, now_);
+  const auto word = self.teller->tell(ask, time_of(node));
   return word ? std::optional(wire::encode(standby::to_value(*word))) : std::nullopt;
 }
 
@@ -360,7 +379,7 @@
   const bool wants = self.hints_wanted_until && now_ < *self.hints_wanted_until;
   auto of = node_of(self.leader_seen);
   if (wants || !of) {
-    if (!wants && self.listener->picture(now_)) return;
+    if (!wants && self.listener->picture(time_of(node))) return;
     // Any sibling in reach, one after the other.
     of = (node + 1 + std::uniform_int_distribution<std::size_t>(0, nodes_.size())(words_luck_)) % nodes_.size();
   }
@@ -373,11 +392,11 @@
   const auto hear = [this, node, life = self.life](const std::string& bytes) {
     Node& me = nodes_[node];
     if (!me.alive || me.life != life) return;
-    if (me.listener->on_answer(bytes, now_)) ++words_refused_;
+    if (me.listener->on_answer(bytes, time_of(node))) ++words_refused_;
     if (!me.hints_wanted_until || !me.engine->leading()) return;
-    const auto hints = me.listener->picture(now_);
+    const auto hints = me.listener->picture(time_of(node));
     if (!hints || hints->term >= me.engine->term() || now_ >= *me.hints_wanted_until) return;
-    me.engine->hint(*hints, now_);
+    me.engine->hint(*hints, time_of(node));
     ++hints_taken_;
     me.hints_wanted_until.reset();
   };
@@ -405,7 +424,7 @@
     });
   };
   if (self.engine->leading()) {
-    const Instant sent = now_;
+    const Instant sent = time_of(node);
     struct Touched {
       Answer answer = Answer::none;
     };
@@ -448,7 +467,7 @@
         me.leader_seen = held ? seen.view.record.leader : NodeName{};
         me.term_seen = seen.view.record.term;
         if (held && seen.view.record.leader != name) return again(kLook);
-        if (!me.engine->gives_way(now_)) take_lead(node, seen.view);
+        if (!me.engine->gives_way(time_of(node))) take_lead(node, seen.view);
         again(kLook);
       },
       true, self.leader_seen.empty() ? Millis(0) : Millis(constants::kLeaderWatchHold));
@@ -489,7 +508,7 @@
         }
         taken.takeover = {.term = view.record.term.next(),
                           .term_mark = result.revision,
-                          .others_until = now_ + Millis(std::max<std::int64_t>(0, until - wall_ms())),
+                          .others_until = time_of(node) + Millis(std::max<std::int64_t>(0, until - wall_ms())),
                           .live = store.list(state::kLivePrefix).entries,
                           .linger = store.list(state::kLingerPrefix).entries,
                           .parts = store.list(state::kPartPrefix).entries,
@@ -498,7 +517,7 @@
         reached(Moment::records, node);
         return taken;
       },
-      [this, node, sent = now_](const Taken& taken) {
+      [this, node, sent = time_of(node)](const Taken& taken) {
         if (taken.answer != Answer::ok) return;
         Node& me = nodes_[node];
         me.lease = taken.lease;
@@ -506,13 +525,14 @@
         me.engine->lead(taken.takeover, sent);
         if (settings_.operators.standby) {
           if (taken.takeover.term.number() > 1) me.hints_wanted_until = now_ + constants::kStandbyLate;
-          if (const auto hints = me.listener->picture(now_)) {
-            me.engine->hint(*hints, now_);
+          if (const auto hints = me.listener->picture(time_of(node))) {
+            me.engine->hint(*hints, time_of(node));
             ++hints_taken_;
             me.hints_wanted_until.reset();
           }
         }
-        if (me.calendar) me.engine->on_dues(calendar::dues_of(*me.calendar, {.at = now_, .wall_ms = wall_ms()}));
+        if (me.calendar)
+          me.engine->on_dues(calendar::dues_of(*me.calendar, {.at = time_of(node), .wall_ms = wall_ms()}));
         on_new_leader();
         me.calling_follow = me.calling_write = me.calling_cloud = false;
       },
@@ -523,7 +543,7 @@
   Node& self = nodes_[node];
   if (self.calling_follow) return;
   self.calling_follow = true;
-  const Instant sent = now_;
+  const Instant sent = time_of(node);
   const Term term = self.engine->term();
   call_state<state::FollowResult>(
       node, Duty::records,
@@ -536,9 +556,9 @@
           const auto id = state::job_of_key(event.key);
           if (!id) continue;
           if (event.data) {
-            me.engine->on_job_record(*id, *event.data, event.mark, wall_ms(), now_);
+            me.engine->on_job_record(*id, *event.data, event.mark, wall_ms(), time_of(node));
           } else {
-            me.engine->on_job_removed(*id, now_);
+            me.engine->on_job_removed(*id, time_of(node));
           }
         }
         me.engine->confirm_reading(sent);
@@ -589,7 +609,7 @@
         me.calling_ledger = false;
         if (news.answer != Answer::ok) return;
         me.ledger->heard(news.events, news.revision);
-        if (me.calendar) me.calendar->look({.wall_ms = wall_ms(), .steady = now_});
+        if (me.calendar) me.calendar->look({.wall_ms = wall_ms(), .steady = time_of(node)});
       },
       true, constants::kLedgerHold);
 }
@@ -597,14 +617,15 @@
 // As src/node/shared.cpp does: the leader's plan, what jobs ended as, and a write.
 void World::calendar_duty(std::size_t node) {
   Node& self = nodes_[node];
-  if (self.calling_calendar || now_ < self.next_calendar || !self.engine->may_start(now_)) return;
+  if (self.calling_calendar || now_ < self.next_calendar || !self.engine->may_start(time_of(node))) return;
   if (self.engine->planning() && now_ < self.next_calendar + constants::kKeepEvery) return;
   if (!self.ledger->whole() || self.ledger->revision() < self.engine->term_mark()) return;
   self.next_calendar = now_ + constants::kKeepEvery;
-  const calendar::Both moment{.at = now_, .wall_ms = wall_ms()};
+  const calendar::Both moment{.at = time_of(node), .wall_ms = wall_ms()};
   self.engine->on_dues(calendar::dues_of(*self.calendar, moment));
   if (!self.engine->planning()) {
-    self.calendar->planned(calendar::plans_of(self.engine->planned_ends(), self.engine->prospects(now_), moment));
+    self.calendar->planned(
+        calendar::plans_of(self.engine->planned_ends(), self.engine->prospects(time_of(node)), moment));
   }
   if (const auto key = self.calendar->next_read()) {
     call_state<state::GetResult>(
@@ -613,8 +634,8 @@
           if (nodes_[node].calendar) nodes_[node].calendar->on_read(*key, found);
         });
   }
-  const auto txn =
-      self.calendar->next_write(*self.known_jobs, {.wall_ms = wall_ms(), .steady = now_}, settings_.state_txn_ops - 1);
+  const auto txn = self.calendar->next_write(*self.known_jobs, {.wall_ms = wall_ms(), .steady = time_of(node)},
+                                             settings_.state_txn_ops - 1);
   if (!txn) return;
   for (const state::Change& change : txn->changes) {
     if (change.data && static_cast<double>(wire::json_length(*change.data)) > settings_.state_value_kb * 1024) {
@@ -684,7 +705,9 @@
 
 void World::declare(const catalog::Set& set) {
   catalog_ = std::make_shared<const catalog::Set>(set);
-  for (Node& node : nodes_) node.engine->on_catalog(set, wall_ms(), now_);
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    nodes_[node].engine->on_catalog(set, wall_ms(), time_of(node));
+  }
 }
 
 std::optional<World::Queue> World::queue(std::size_t node) {
@@ -714,11 +737,11 @@
           me.calling_write = false;
           if (found.answer != Answer::ok && found.answer != Answer::not_found) return;
           me.engine->on_reloaded(*reload, found.answer == Answer::ok ? std::optional(found.entry.mark) : std::nullopt,
-                                 now_);
+                                 time_of(node));
         });
     return;
   }
-  const auto batch = self.engine->begin_write(now_);
+  const auto batch = self.engine->begin_write(time_of(node));
   if (!batch) return;
   if (batch->txn.changes.size() > settings_.state_txn_ops) throw std::logic_error("transaction over its limit");
   for (const state::Change& change : batch->txn.changes) {
@@ -735,7 +758,7 @@
       },
       [this, node, batch](const state::TxnResult& result) {
         nodes_[node].calling_write = false;
-        nodes_[node].engine->end_write(*batch, result, now_);
+        nodes_[node].engine->end_write(*batch, result, time_of(node));
       });
 }
 
@@ -763,12 +786,13 @@
   std::string number = std::to_string(next_machine_++);
   const MachineId id("m-" + std::string(6 - number.size(), '0') + number);
   machines_[id] = Rented{.type = type, .zone = zone, .spot = spot, .rented = now_};
+  if (drift_ > 0) machines_.at(id).drift = lucky(0.5) ? drift_ : -drift_;
   after(boot, [this, id] {
     Rented& machine = machines_.at(id);
     if (machine.gone) return;
     const auto supply = std::ranges::find(supplies_, machine.type, [](const Supply& s) { return s.type.name; });
     machine.worker = std::make_unique<Worker>(id, supply->type, machine.zone, machine.spot,
-                                              from_seconds(settings_.lease_s), *this, now_);
+                                              from_seconds(settings_.lease_s), *this, time_of(machine));
     machine.worker->gang_wait = from_seconds(settings_.gang_wait_s);
     machine.worker->shares_fetch = fetches_share_;
     machine.worker->gang_ready = [this](const JobId& job_id, AttemptNo attempt) {
@@ -826,46 +850,48 @@
     const auto machine = machines_.find(id);
     if (machine == machines_.end() || machine->second.gone) continue;
     machine->second.gone = now_;
-    if (machine->second.worker) machine->second.worker->kill(now_);
+    if (machine->second.worker) machine->second.worker->kill(time_of(machine->second));
   }
 }
 
 void World::cloud_duty(std::size_t node) {
   Node& self = nodes_[node];
   if (self.calling_cloud || cloud_out_ || cut_zones_.contains(self.zone)) return;
-  const auto answer_after = [this, node, life = self.life](std::function<void(control::Engine&)> then) {
+  const auto answer_after = [this, node, life = self.life](std::function<void(control::Engine&, Instant)> then) {
     nodes_[node].calling_cloud = true;
     after(Millis(200) + delay(), [this, node, life, then = std::move(then)] {
       Node& me = nodes_[node];
       if (!me.alive || me.life != life) return;
       me.calling_cloud = false;
-      then(*me.engine);
+      then(*me.engine, time_of(node));
     });
   };
-  if (const std::vector<MachineId> names = self.engine->next_returns(now_); !names.empty()) {
+  if (const std::vector<MachineId> names = self.engine->next_returns(time_of(node)); !names.empty()) {
     give_back(names);
     copy_late([this, names] { give_back(names); });
-    return answer_after([this, names](control::Engine& engine) { engine.on_returned(names, now_); });
+    return answer_after([names](control::Engine& engine, Instant at) { engine.on_returned(names, at); });
   }
   if (self.hints_wanted_until && now_ < *self.hints_wanted_until) return;
-  if (const auto request = self.engine->next_rental(now_)) {
+  if (const auto request = self.engine->next_rental(time_of(node))) {
     const std::vector<MachineId> rented = rent(*request);
     copy_late([this, request] { (void)rent(*request); });
     reached(Moment::rental, node);
     if (rented.empty()) {
-      return answer_after([this, request](control::Engine& engine) { engine.on_rent_refused(*request, now_); });
+      return answer_after([request](control::Engine& engine, Instant at) { engine.on_rent_refused(*request, at); });
     }
-    return answer_after([this, request, rented](control::Engine& engine) { engine.on_rented(*request, rented, now_); });
+    return answer_after(
+        [request, rented](control::Engine& engine, Instant at) { engine.on_rented(*request, rented, at); });
   }
   if (now_ >= self.next_list) {
     self.next_list = now_ + constants::kListEvery;
-    return answer_after([this, listed = listing()](control::Engine& engine) { engine.on_machine_list(listed, now_); });
+    return answer_after(
+        [listed = listing()](control::Engine& engine, Instant at) { engine.on_machine_list(listed, at); });
   }
 }
 
 void World::halt_duty(std::size_t node) {
   Node& self = nodes_[node];
-  for (const control::DirectHalt& halt : self.engine->due_halts(now_)) {
+  for (const control::DirectHalt& halt : self.engine->due_halts(time_of(node))) {
     const auto machine = machines_.find(halt.machine);
     if (machine == machines_.end() || !machine->second.worker || machine->second.gone) continue;
     const Term term = self.engine->term();
@@ -875,12 +901,13 @@
       if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
       if (!is_heard(node, target)) return true;
       if (is_held(target)) return false;
-      (void)target.worker->direct(term, halt.session, halt.commands, now_);
+      (void)target.worker->direct(term, halt.session, halt.commands, time_of(target));
       target.changed = true;
       copy_late([this, halt, term] {
         const Rented& again = machines_.at(halt.machine);
         if (now_ < again.deaf_until) return;
-        if (!again.gone && again.worker->alive) (void)again.worker->direct(term, halt.session, halt.commands, now_);
+        if (!again.gone && again.worker->alive)
+          (void)again.worker->direct(term, halt.session, halt.commands, time_of(again));
       });
       return true;
     });
@@ -946,9 +973,9 @@
   }
   if (now_ >= side.next_look && side.read) {
     side.next_look = now_ + constants::kPoolLook;
-    const ledger::Moment moment{.wall_ms = wall_ms(), .steady = now_};
+    const ledger::Moment moment{.wall_ms = wall_ms(), .steady = time_of(node)};
     self.engine->steer(side.keeper.steer());
-    if (self.engine->leading()) side.keeper.observe(self.engine->sight_pools(now_), moment);
+    if (self.engine->leading()) side.keeper.observe(self.engine->sight_pools(time_of(node)), moment);
   }
   if (!late(node, Duty::writes)) pool_write(node);
 }
@@ -956,11 +983,12 @@
 void World::pool_write(std::size_t node) {
   Node& self = nodes_[node];
   PoolSide& side = *self.pools;
-  if (side.writing || !self.engine->may_start(now_) || !side.ledger.whole() ||
+  if (side.writing || !self.engine->may_start(time_of(node)) || !side.ledger.whole() ||
       side.ledger.revision() < self.engine->term_mark()) {
     return;
   }
-  const auto txn = side.keeper.next_write(side.jobs, {.wall_ms = wall_ms(), .steady = now_}, settings_.state_txn_ops);
+  const auto txn =
+      side.keeper.next_write(side.jobs, {.wall_ms = wall_ms(), .steady = time_of(node)}, settings_.state_txn_ops);
   if (!txn) return;
   if (txn->changes.size() > settings_.state_txn_ops) throw std::logic_error("transaction over its limit");
   for (const state::Change& change : txn->changes) {
@@ -1019,7 +1047,7 @@
 void World::worker_step(const MachineId& id) {
   Rented& machine = machines_.at(id);
   if (machine.gone || !machine.worker->alive) return;
-  if (machine.worker->advance(now_)) {
+  if (machine.worker->advance(time_of(machine))) {
     machine.changed = true;
     machine.next_report = std::min(machine.next_report, now_ + Millis(100));
   }
@@ -1077,7 +1105,7 @@
   if (!self.engine->leading() && (!leader || *leader == node)) {
     if (answer_by_grant(id, report, sent, node, true)) return;
   } else if (!self.engine->leading()) {
-    if (!nodes_[node].unreached.passes(id, report.term, self.term_seen, now_)) {
+    if (!nodes_[node].unreached.passes(id, report.term, self.term_seen, time_of(node))) {
       if (!answer_by_grant(id, report, sent, node, false)) take_report(id, report, sent, node, node);
       return;
     }
@@ -1103,7 +1131,7 @@
   Node& self = nodes_[node];
   const bool near = self.leader_answered && now_ - *self.leader_answered < constants::kContactLost;
   if (!self.alive || (near && !leader_tried)) return false;
-  const auto term = self.holder.answers(id, report.zone, report.term, now_);
+  const auto term = self.holder.answers(id, report.zone, report.term, time_of(node));
   if (!term) return false;
   ++answered_by_grant_;
   after(kWordDelay, [this, id, term = *term, session = report.session, sent, node] {
@@ -1116,7 +1144,7 @@
       if (gave_up(waiting, sent, node)) return true;
       waiting.reporting = false;
       waiting.next_report = now_ + from_seconds(settings_.report_s);
-      waiting.worker->answer(term, {}, session, sent, now_);
+      waiting.worker->answer(term, {}, session, time_of(waiting, sent), time_of(waiting));
       return true;
     };
     if (!hear()) repeat(kStep, hear);
@@ -1130,9 +1158,9 @@
     after(kStep, [this, id, report, sent, node, via] { take_report(id, report, sent, node, via); });
     return;
   }
-  const auto commands = nodes_[node].engine->on_report(report, now_);
+  const auto commands = nodes_[node].engine->on_report(report, time_of(node));
   copy_late([this, node, report] {
-    if (nodes_[node].alive) (void)nodes_[node].engine->on_report(report, now_);
+    if (nodes_[node].alive) (void)nodes_[node].engine->on_report(report, time_of(node));
   });
   if (now_ - sent > constants::kReportAnswerLimit) return;  // the worker has given it up
   answer_report(id, report, commands, sent, now_, node, nodes_[node].life, via);
@@ -1158,7 +1186,7 @@
     return;
   }
   if (commands && now_ > came) {
-    if (const auto later = engine.later_commands(report, now_)) {
+    if (const auto later = engine.later_commands(report, time_of(node))) {
       for (const wire::Command& command : *later) {
         if (std::ranges::find(*commands, command) == commands->end()) commands->push_back(command);
       }
@@ -1209,7 +1237,7 @@
     }
     return;
   }
-  machine.worker->answer(term, *commands, session, sent, now_);
+  machine.worker->answer(term, *commands, session, time_of(machine, sent), time_of(machine));
   if (!commands->empty()) machine.next_report = now_ + Millis(500);
 }
 
@@ -1501,6 +1529,7 @@
     fresh.refused_from = nodes_[node].refused_from;
     fresh.refused_until = nodes_[node].refused_until;
     fresh.alone_until = nodes_[node].alone_until;
+    fresh.drift = nodes_[node].drift;
     nodes_[node] = std::move(fresh);
     begin_life(node);
     duties(node, nodes_[node].life);
@@ -1574,7 +1603,7 @@
   trouble(0);
   Rented& machine = machines_.at(id);
   if (machine.gone || !machine.worker) return;
-  machine.worker->kill(now_);
+  machine.worker->kill(time_of(machine));
   machine.failed = true;
 }
 
@@ -1582,13 +1611,13 @@
   trouble(notice_s);
   Rented& machine = machines_.at(id);
   if (machine.gone || !machine.worker) return;
-  machine.worker->taken_at = now_ + from_seconds(notice_s);
+  machine.worker->taken_at = time_of(machine) + from_seconds(notice_s);
   machine.next_report = now_;
   after(from_seconds(notice_s), [this, id] {
     Rented& taken = machines_.at(id);
     if (taken.gone) return;
     taken.gone = now_;
-    taken.worker->kill(now_);
+    taken.worker->kill(time_of(taken));
   });
 }
 
@@ -1659,16 +1688,16 @@
   if (!self.alive || self.cut_from_workers || parted(self.zone, report.zone)) return;
   ++struck_["late_reports"];
   if (self.engine->leading()) {
-    (void)self.engine->on_report(report, now_);
+    (void)self.engine->on_report(report, time_of(node));
     return;
   }
   const auto leader = node_of(self.leader_seen);
   if (leader && *leader != node && hears(*leader, node) &&
-      self.unreached.passes(report.machine, report.term, self.term_seen, now_)) {
-    (void)nodes_[*leader].engine->on_report(report, now_);
+      self.unreached.passes(report.machine, report.term, self.term_seen, time_of(node))) {
+    (void)nodes_[*leader].engine->on_report(report, time_of(*leader));
     return;
   }
-  (void)self.holder.answers(report.machine, report.zone, report.term, now_);
+  (void)self.holder.answers(report.machine, report.zone, report.term, time_of(node));
 }
 
 void World::make_deaf(const MachineId& id, double for_s) {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -76,6 +76,8 @@
   void late_copies(bool on) { late_copies_ = on; }
   // Images that a machine fetches at the same time share its rate. To be said before the day.
   void let_fetches_share() { fetches_share_ = true; }
+  // Steady clocks of nodes and machines run fast or slow by that share, as it falls out. To be said before the day.
+  void let_clocks_drift(double share);
   void state_outage(double for_s);
   void cloud_outage(double for_s);
   // `hold`: what is sent meanwhile arrives afterwards, rather than never.
@@ -127,6 +129,8 @@
   [[nodiscard]] std::vector<MachineId> machines_in(const std::string& zone) const;
   // How often a trouble has struck so far, by the name of its command in scenarios.
   [[nodiscard]] const std::map<std::string, std::size_t>& struck() const { return struck_; }
+  // How far the fastest steady clock is ahead of the slowest.
+  [[nodiscard]] double clocks_apart_s() const;
   [[nodiscard]] std::size_t struck(const std::string& trouble) const;
   // In force from now on; all controllers follow the records from then on.
   void declare(const catalog::Set& set);
@@ -213,6 +217,7 @@
     Instant refused_from;  // by the state service
     Instant refused_until;
     Instant alone_until;  // without siblings
+    double drift = 0;
     state::LeaseId lease;
     Revision follow_from;
     NodeName leader_seen;
@@ -262,6 +267,7 @@
     Instant deaf_until;
     Instant mute_until;
     Instant held_until;  // what is sent to it
+    double drift = 0;
   };
   struct LateWrites {
     double share = 0;
@@ -281,6 +287,11 @@
   enum class Fate : std::uint8_t { answered, unanswered, late };
 
   static double control_seconds(Instant when);
+  // What a steady clock shows that goes so much faster.
+  [[nodiscard]] static Instant by_clock(double drift, Instant when);
+  [[nodiscard]] Instant time_of(std::size_t node) const { return by_clock(nodes_[node].drift, now_); }
+  [[nodiscard]] Instant time_of(const Rented& machine) const { return by_clock(machine.drift, now_); }
+  [[nodiscard]] static Instant time_of(const Rented& machine, Instant when) { return by_clock(machine.drift, when); }
   // Again and again until it is true.
   void repeat(Millis span, std::function<bool()> what);
   void after(Millis span, std::function<void()> what);
@@ -400,6 +411,7 @@
   std::size_t rented_ = 0;
   bool fetches_share_ = false;
   bool late_copies_ = false;
+  double drift_ = 0;
   LateWrites late_writes_;
   LateReports late_reports_;
   CancelsAtEnd cancels_at_end_;
