--- a/tests/explorer/digest.cpp
+++ b/tests/explorer/digest.cpp
@@ -73,6 +73,7 @@
     out << "node" << node.frozen << node.refused << (node.lease.number != 0) << node.writing << node.leader_seen.text()
         << term(node.term_seen) << engine.leading() << engine.gives_way(now_);
     if (node.lease.number != 0 && leases_.contains(node.lease.number)) out << away(leases_.at(node.lease.number));
+    for (const Duty duty : node.stalled) out << "stalled" << duty;
     for (const auto& [id, status] : node.ended) out << id.text() << status.state;
     if (node.taking)
       out << "taking" << term(node.taking->term) << away(node.taking->asked)
--- a/tests/explorer/model.cpp
+++ b/tests/explorer/model.cpp
@@ -18,8 +18,9 @@
 namespace {
 
 constexpr Millis kQuantum{1000};  // of rounds, while time passes
-constexpr Millis kFine{250};      // of workers' clocks
-constexpr double kReportS = 2;    // small figures, so that few rounds pass until a lease ends
+constexpr std::size_t kDuties = 5;
+constexpr Millis kFine{250};    // of workers' clocks
+constexpr double kReportS = 2;  // small figures, so that few rounds pass until a lease ends
 constexpr double kLeaseS = 8;
 constexpr double kCancelS = 18;           // the fence is then 8 s
 constexpr std::size_t kMachinesMost = 8;  // those that were returned among them
@@ -73,6 +74,7 @@
       life(other.life),
       frozen(other.frozen),
       refused(other.refused),
+      stalled(other.stalled),
       lease(other.lease),
       taking(other.taking),
       follow_from(other.follow_from),
@@ -211,6 +213,7 @@
       return true;
     case Kind::freeze: return a < nodes_.size() && (nodes_[a].frozen = !nodes_[a].frozen, true);
     case Kind::refuse: return a < nodes_.size() && (nodes_[a].refused = !nodes_[a].refused, true);
+    case Kind::stall: return a < nodes_.size() && b < kDuties && flip(nodes_[a].stalled, static_cast<Duty>(b));
     case Kind::outage:
       outage_ = !outage_;
       if (outage_) return true;
@@ -247,8 +250,10 @@
     }
   }
   for (std::size_t node = 0; node < nodes_.size(); ++node) {
-    for (std::size_t duty = 0; duty < 5; ++duty) {
-      if (!nodes_[node].frozen && (duty < 4 || setup_->grants)) add(Kind::turn, node, duty);
+    for (std::size_t duty = 0; duty < kDuties; ++duty) {
+      if (nodes_[node].frozen || (static_cast<Duty>(duty) == Duty::ask && !setup_->grants)) continue;
+      add(Kind::turn, node, duty);
+      add(Kind::stall, node, duty);
     }
     add(Kind::crash, node);
     add(Kind::freeze, node);
@@ -303,7 +308,8 @@
     Node& node = nodes_[message->node];
     const bool waits = message->sort == Sort::write && (message->fate == Fate::slow || message->fate == Fate::held) &&
                        message->life == node.life && node.writing;
-    if (!waits || node.frozen || now_ - message->sent < constants::kStateCallLimit) {
+    if (!waits || node.frozen || node.stalled.contains(Duty::write) ||
+        now_ - message->sent < constants::kStateCallLimit) {
       ++message;
       continue;
     }
@@ -356,7 +362,7 @@
 }
 
 void Model::turn(std::size_t node, Duty duty) {
-  if (nodes_[node].frozen) return;
+  if (nodes_[node].frozen || nodes_[node].stalled.contains(duty)) return;
   switch (duty) {
     case Duty::lead: return lead_turn(node);
     case Duty::follow: return follow_turn(node);
@@ -601,7 +607,7 @@
     return;
   }
   if (cut(number, node)) return turn_to(number, (node + 1) % nodes_.size(), Millis(1000));
-  if (self.engine.leading()) return take_report(number, report, sent, node);
+  if (self.engine.leading()) return take_report(number, report, sent, node, node);
   const auto leader = node_of(self.leader_seen);
   if (leader && *leader != node) {
     if (!cut(number, *leader) && !nodes_[*leader].frozen && nodes_[*leader].engine.leading()) {
@@ -609,7 +615,7 @@
       if (!machine.deaf) turn_to(number, *leader, Millis(0));
       return;
     }
-    if (!parted_ && !nodes_[*leader].frozen) return take_report(number, report, sent, *leader);
+    if (!parted_ && !nodes_[*leader].frozen) return take_report(number, report, sent, *leader, node);
   }
   if (answer_by_grant(number, report, sent, node, true)) return;
   turn_to(number, (node + 1) % nodes_.size(), Millis(1000));
@@ -626,7 +632,8 @@
   return true;
 }
 
-void Model::take_report(std::size_t number, const wire::Report& report, Instant sent, std::size_t node) {
+void Model::take_report(std::size_t number, const wire::Report& report, Instant sent, std::size_t node,
+                        std::size_t via) {
   Node& self = nodes_[node];
   Message message{.sort = Sort::answer,
                   .fate = Fate::held,
@@ -637,7 +644,11 @@
                   .commands = self.engine.on_report(report, now_),
                   .term = self.engine.term()};
   if (now_ - sent >= constants::kReportAnswerLimit) return;
-  if (!message.commands) return deliver_answer(number, {}, {}, report.session, sent);
+  if (!message.commands) {
+    // Who passed it on may have a grant.
+    if (via != node && answer_by_grant(number, report, sent, via, true)) return;
+    return deliver_answer(number, {}, {}, report.session, sent);
+  }
   const auto found = armed_.find({Sort::answer, number});
   if (found != armed_.end() && found->second == Fate::held) {  // it waits at the node
     armed_.erase(found);
@@ -780,6 +791,7 @@
   const bool to_node = message.fate == Fate::slow || message.fate == Fate::held;
   if (to_store && outage_) return false;
   if (to_node && message.sort != Sort::report && node.frozen) return false;
+  if (to_node && message.sort == Sort::write && node.stalled.contains(Duty::write)) return false;
   if (message.left > 1 && message.fate != Fate::held) {
     --captured_[number].left;
   } else {
--- a/tests/explorer/model.h
+++ b/tests/explorer/model.h
@@ -35,6 +35,7 @@
   crash,    // a: node; it begins anew at once
   freeze,   // a: node; and again: it goes on
   refuse,   // a: node, by the state service alone; and again: it is served
+  stall,    // a: node, b: of kDuties, which does nothing and hears no answer, as others have the processor; and again
   outage,   // of the state service; and again: its end
   part,     // siblings hear nothing of each other; and again: they do
   cut,      // a: machine, b: node; and again: mended
@@ -114,6 +115,7 @@
     std::uint64_t life = 1;
     bool frozen = false;
     bool refused = false;
+    std::set<Duty> stalled;
     state::LeaseId lease;
     struct Taking {  // the lead is taken, the records are not read yet
       Term term;
@@ -204,7 +206,7 @@
   void report_turn(std::size_t machine);
   void deliver_report(std::size_t machine, const wire::Report& report, Instant sent, std::size_t node);
   bool answer_by_grant(std::size_t machine, const wire::Report& report, Instant sent, std::size_t node, bool tried);
-  void take_report(std::size_t machine, const wire::Report& report, Instant sent, std::size_t node);
+  void take_report(std::size_t machine, const wire::Report& report, Instant sent, std::size_t node, std::size_t via);
   void end_answer(const Message& message);
   void deliver_answer(std::size_t machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
                       SessionNo session, Instant sent);
--- a/tests/explorer/search.cpp
+++ b/tests/explorer/search.cpp
@@ -14,8 +14,8 @@
 std::string rule_of(const std::string& breach) { return breach.substr(0, breach.find(':')); }
 
 bool lasts(Kind kind) {
-  return kind == Kind::freeze || kind == Kind::refuse || kind == Kind::outage || kind == Kind::part ||
-         kind == Kind::cut || kind == Kind::hang || kind == Kind::deaf;
+  return kind == Kind::freeze || kind == Kind::refuse || kind == Kind::stall || kind == Kind::outage ||
+         kind == Kind::part || kind == Kind::cut || kind == Kind::hang || kind == Kind::deaf;
 }
 
 // How often a walk chooses the kind, against others: time has to pass, and troubles to strike, but not all at once.
@@ -24,6 +24,7 @@
   switch (action.kind) {
     case Kind::pass: return action.a < 2 ? 12 : action.a < 4 ? 5 : 2;
     case Kind::turn: return 0.5;
+    case Kind::stall: return 0.3;
     case Kind::report: return 1;
     case Kind::submit: return 0.8;
     case Kind::cancel: return 0.25;
--- a/tests/explorer/setups.cpp
+++ b/tests/explorer/setups.cpp
@@ -32,12 +32,14 @@
 std::vector<Setup> make() {
   const std::set<Kind> troubles{Kind::pass,   Kind::submit, Kind::cancel,  Kind::crash, Kind::freeze,
                                 Kind::refuse, Kind::outage, Kind::capture, Kind::arrive};
+  std::set<Kind> troubles_and_stalls = troubles;
+  troubles_and_stalls.insert(Kind::stall);
   std::vector<Setup> made;
   // One job that runs, at the moment in which troubles begin.
   made.push_back({.name = "one",
                   .machines = {"a"},
                   .jobs = {job(1)},
-                  .kinds = troubles,
+                  .kinds = troubles_and_stalls,
                   .begins = {kSubmitted, kSecond, kSecond},
                   .captures = {Sort::lead, Sort::write, Sort::user}});
   // The same before anything happened.
@@ -52,9 +54,16 @@
                   .machines = {"a", "a"},
                   .jobs = {job(1)},
                   .kinds = {Kind::pass, Kind::crash, Kind::freeze, Kind::cut, Kind::hang, Kind::deaf, Kind::capture,
-                            Kind::arrive, Kind::report, Kind::outage},
+                            Kind::arrive, Kind::report, Kind::refuse},
                   .begins = {kSubmitted, kSecond, kSecond},
                   .captures = {Sort::report, Sort::answer, Sort::halt}});
+  // The same before anything happened.
+  made.push_back({.name = "start",
+                  .machines = {"a", "a"},
+                  .jobs = {job(1)},
+                  .kinds = {Kind::pass, Kind::submit, Kind::crash, Kind::cut, Kind::hang, Kind::capture, Kind::arrive},
+                  .begins = {},
+                  .captures = {Sort::write, Sort::report}});
   // Its end.
   made.push_back({.name = "ends",
                   .machines = {"a"},
@@ -141,6 +150,7 @@
     case Kind::crash: return "node-" + a + " crashes and begins anew";
     case Kind::freeze: return "node-" + a + " stands still, or goes on";
     case Kind::refuse: return "the state service refuses node-" + a + " alone, or serves it again";
+    case Kind::stall: return "node-" + a + " gets no time for what " + kDutyNames.at(action.b) + ", or gets it again";
     case Kind::outage: return "an outage of the state service begins, or ends";
     case Kind::part: return "siblings are parted, or no longer";
     case Kind::cut: return machine() + " and node-" + b + " are parted, or no longer";
