--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -109,6 +109,9 @@
   // ---- records ----
   void on_job_record(const JobId& job, const wire::Value& record, Revision mark, std::int64_t wall_ms, Instant now);
   void on_job_removed(const JobId& job, Instant now);
+  // All of live/, as a read found it that began in that term. False if this lead is another one: it knows better.
+  [[nodiscard]] bool on_job_list(Term read_in, const std::vector<state::Entry>& live, std::int64_t wall_ms,
+                                 Instant now);
   [[nodiscard]] std::optional<work::Reload> next_reload() const { return jobs_.next_reload(); }
   // What a fresh read of the record found.
   void on_reloaded(const work::Reload& reload, std::optional<Revision> mark, Instant now);
@@ -228,6 +231,7 @@
   void forget_machine(const MachineId& id);
   [[nodiscard]] bool usable(const Machine& machine, Instant now) const;
   // Up to when its tasks may run on, if nothing more is heard of it.
+  [[nodiscard]] Instant granted_until(const Machine& machine) const;
   [[nodiscard]] Instant lease_end(const Machine& machine) const;
   // The same, but sooner known.
   [[nodiscard]] bool lease_over(const Machine& machine, Instant now) const;
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -81,7 +81,7 @@
 
   void run() {
     world().run_until(end_s_);
-    for (const std::string& broken : world().rules().broken()) ADD_FAILURE() << broken;
+    for (const std::string& broken : world().broken()) ADD_FAILURE() << broken;
     EXPECT_GT(expectations_, 0) << "a scenario expects something";
   }
 
@@ -143,7 +143,18 @@
   }
 
   // stream FROM TO EVERY submit j-000100 ...: like jobs one after the other, numbered on from the first.
+  // stream FROM TO EVERY cancel j-000100 by 4: of such jobs each fourth.
   void read_stream(const Words& words) {
+    if (words.at(4) == "cancel") {
+      unsigned long number = std::stoul(words.at(5).substr(2));
+      for (double at_s = std::stod(words.at(1)); at_s < std::stod(words.at(2)); at_s += std::stod(words.at(3))) {
+        char name[32];
+        std::snprintf(name, sizeof name, "j-%06lu", number);
+        number += std::stoul(words.at(7));
+        world().at(at_s, [this, id = JobId(name)] { world().cancel(id); });
+      }
+      return;
+    }
     Submission submission = read_job(Words(words.begin() + 4, words.end()));
     unsigned long number = std::stoul(submission.spec.id.text().substr(2));
     for (double at_s = std::stod(words.at(1)); at_s < std::stod(words.at(2)); at_s += std::stod(words.at(3))) {
@@ -349,7 +360,10 @@
       });
     } else if (verb == "cut_state") {  // of a node
       does([this, words] {
-        world().cut_node_from_state(which(words.at(1)), std::stod(words.at(2)), words.size() > 3 && words[3] == "hold");
+        const std::set<std::string> flags(words.begin() + 3, words.end());
+        const std::size_t node = which(words.at(1));
+        world().cut_node_from_state(node, std::stod(words.at(2)), flags.contains("hold"));
+        if (flags.contains("peers")) world().cut_node_from_siblings(node, std::stod(words[2]));
       });
     } else if (verb == "late") {
       const auto name = std::ranges::find_if(kDutyNames, [&](const char* one) { return words.at(1) == one; });
@@ -393,13 +407,28 @@
         world().late_reports(std::stod(words.at(1)), std::stod(words.at(2)),
                              words.size() > 3 && words[3] == "for_next");
       });
-    } else if (verb == "deaf" || verb == "mute") {
+    } else if (verb == "cancel_now") {
+      does([this, words] {
+        world().cancel_now(std::stoul(words.at(1)), words.size() > 3 && words[2] == "hang" ? std::stod(words[3]) : 0);
+      });
+    } else if (verb == "cancel_at_end") {
+      does([this, words] { world().cancel_at_end(std::stod(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "odd_requests") {
+      does([this, words] { world().odd_requests(std::stod(words.at(1))); });
+    } else if (verb == "close_looks") {
+      does([this, words] { world().close_looks(std::stod(words.at(1))); });
+    } else if (verb == "quick_boots") {
+      does([this, words] { world().quick_boots(std::stod(words.at(1))); });
+    } else if (verb == "deaf" || verb == "mute" || verb == "hold_commands") {
       does([this, words, verb] {
         for (const MachineId& id : machines(words)) {
+          if (verb == "hold_commands") world().hold_commands(id, std::stod(words.back()));
           if (verb == "deaf") world().make_deaf(id, std::stod(words.back()));
           if (verb == "mute") world().make_mute(id, std::stod(words.back()));
         }
       });
+    } else if (verb == "withdraw_type") {
+      does([this, type = words.at(1)] { world().withdraw_type(type); });
     } else if (verb == "windows") {
       does([this, words] { world().open_windows(words.at(1) == "open"); });
     } else if (verb == "expect") {
@@ -511,7 +540,9 @@
       EXPECT_EQ(planned, expected) << "as the leader plans";
       return;
     }
-    if (what == "served") {  // at_least SHARE, of each class, each team and each class's largest jobs
+    if (what == "served" && words.at(2) == "verdicts") {
+      for (const std::string& verdict : world().served_verdicts()) ADD_FAILURE() << verdict;
+    } else if (what == "served") {  // at_least SHARE, of each class, each team and each class's largest jobs
       for (const Served::Share& share : world().shares())
         EXPECT_GE(share.share(), std::stod(words.at(3))) << share.text();
     } else if (what == "crashes") {  // nothing waits for its moment any more
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -21,13 +21,25 @@
 constexpr Millis kLargeFleetStep{250};     // of its workers
 constexpr Millis kPollEvery{2000};
 constexpr std::uint64_t kOverPolls = 8;  // one in so many asks about jobs that are over
+constexpr Millis kSettled{60'000};       // after the last trouble, an end is told in time
 constexpr Millis kLook{500};             // of followers at who leads, for want of a watch
 constexpr Millis kOpenWatch{600};        // a look so soon after a refusal began stands for the watch that was open then
 constexpr double kLateWriteLeast = 2;    // s
 constexpr double kLateWriteMost = 12;    // s
 constexpr double kLateReportLeast = 2;   // s
 constexpr double kLateReportLeases = 2.5;
-constexpr Millis kWordDelay{4};  // of siblings' words; fixed, so that they change no other day's luck
+constexpr Millis kSubmitLimit{5000};  // of users
+constexpr Millis kPollLimit{2000};
+// Of a close look, after what it is for.
+constexpr std::array kLooks{Millis(0),   Millis(4),   Millis(12),   Millis(30),   Millis(80),
+                            Millis(200), Millis(600), Millis(1500), Millis(3200), Millis(5000)};
+constexpr double kOddPauseLeast = 0.2;   // s
+constexpr double kOddPauseMost = 1;      // s
+constexpr double kCancelsWithin = 0.2;   // s
+constexpr std::size_t kHangingMost = 8;  // machines
+constexpr double kQuickBootLeast = 0.2;  // s
+constexpr double kQuickBootMost = 2;     // s
+constexpr Millis kWordDelay{4};          // of siblings' words; fixed, so that they change no other day's luck
 constexpr std::int64_t kWallStart = 1'800'000'000'000;
 
 }  // namespace
@@ -42,7 +54,9 @@
       troubles_luck_(seed + 4),
       now_(Millis(1'000'000)),
       balancer_(nodes),
-      rules_(settings_) {
+      rules_(settings_),
+      served_(settings_.teams) {
+  rules_.on_types(types());
   nodes_.resize(nodes);
   std::size_t most = 0;
   for (const Supply& supply : supplies_) {
@@ -81,6 +95,7 @@
       zone::Holder(own.name, own.zone, static_cast<std::uint64_t>(wall_ms()), control::grant_spans(settings_));
   self.engine = std::make_unique<control::Engine>(own);
   self.engine->on_types(types());
+  self.finals = std::make_unique<user_api::FinalStates>();
   self.teller = std::make_unique<standby::Teller>(self.life * 100 + node + 1);
   self.listener = std::make_unique<standby::Listener>(own.name);
   self.asking_standby = false;
@@ -93,8 +108,13 @@
   return one != other && (cut_zones_.contains(one) || cut_zones_.contains(other));
 }
 
+bool World::apart(std::size_t one, std::size_t other) const {
+  const bool alone = now_ < nodes_[one].alone_until || now_ < nodes_[other].alone_until;
+  return (one != other && alone) || parted(nodes_[one].zone, nodes_[other].zone);
+}
+
 bool World::hears(std::size_t node, std::size_t sibling) const {
-  return !siblings_cut_ && nodes_[node].alive && !parted(nodes_[node].zone, nodes_[sibling].zone);
+  return !siblings_cut_ && nodes_[node].alive && !apart(node, sibling);
 }
 
 double World::control_seconds(Instant when) { return control::to_seconds(when.time_since_epoch()) - 1000; }
@@ -311,7 +331,7 @@
     after(kWordDelay, [this, node, leader, grant, asked, life, given_up] {
       Node& me = nodes_[node];
       if (!me.alive || me.life != life) return;
-      if (parted(me.zone, nodes_[*leader].zone)) return after(constants::kAskLimit, given_up);
+      if (apart(node, *leader)) return after(constants::kAskLimit, given_up);
       const auto take = [this, node, grant, asked, life] {
         Node& holder = nodes_[node];
         if (late(node, Duty::asks)) return false;
@@ -370,7 +390,7 @@
       if (nodes_[node].life != life) return;
       nodes_[node].asking_standby = false;
       const int luck = std::uniform_int_distribution<int>(0, 49)(words_luck_);
-      if (!bytes || luck == 0 || parted(nodes_[node].zone, nodes_[of].zone)) return;
+      if (!bytes || luck == 0 || apart(node, of)) return;
       hear(luck == 1 ? bytes->substr(0, bytes->size() / 2) : *bytes);
       if (luck == 2) hear(*bytes);
       copy_late([bytes, hear] { hear(*bytes); });
@@ -751,7 +771,7 @@
     if (machine.gone) return;
     const auto supply = std::ranges::find(supplies_, machine.type, [](const Supply& s) { return s.type.name; });
     machine.worker = std::make_unique<Worker>(id, supply->type, machine.zone, machine.spot,
-                                              from_seconds(settings_.lease_s), *this, now_);
+                                              from_seconds(settings_.lease_s * worker_rate_), *this, now_);
     machine.worker->gang_wait = from_seconds(settings_.gang_wait_s);
     machine.worker->shares_fetch = fetches_share_;
     machine.worker->gang_ready = [this](const JobId& job_id, AttemptNo attempt) {
@@ -778,6 +798,15 @@
   return id;
 }
 
+void World::withdraw_type(const std::string& type) {
+  for (const auto& [id, machine] : machines_) {
+    if (machine.type == type) throw std::logic_error("a machine of the type: " + id.text());
+  }
+  std::erase_if(supplies_, [&type](const Supply& supply) { return supply.type.name == type; });
+  rules_.on_types(types());
+  for (const Node& node : nodes_) node.engine->on_types(types());
+}
+
 void World::start_up(const std::string& type, const std::string& zone, std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) add_machine(type, zone, false, Millis(0));
 }
@@ -794,7 +823,10 @@
   std::vector<MachineId> rented;
   for (std::size_t i = 0; i < std::min<std::size_t>(most > held ? most - held : 0, request.count); ++i) {
     const double boot_s = supply->type.boot_s * std::uniform_real_distribution<double>(0.6, 1.5)(random_);
-    rented.push_back(add_machine(request.type, request.zone, request.spot, from_seconds(boot_s)));
+    const bool quick = now_ < quick_boots_until_;
+    if (quick) ++struck_["quick_boots"];
+    rented.push_back(add_machine(request.type, request.zone, request.spot,
+                                 from_seconds(quick ? between(kQuickBootLeast, kQuickBootMost) : boot_s)));
   }
   if (!rented.empty()) rentals_[request.request] = rented;
   rented_ += rented.size();
@@ -854,6 +886,7 @@
       if (target.gone || !target.worker->alive) return true;
       if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
       if (!is_heard(node, target)) return true;
+      if (is_held(target)) return false;
       (void)target.worker->direct(term, halt.session, halt.commands, now_);
       target.changed = true;
       copy_late([this, halt, term] {
@@ -1089,9 +1122,16 @@
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
     if (!is_heard(node, target) || target.worker->hung) return;
-    target.reporting = false;
-    target.next_report = now_ + from_seconds(settings_.report_s);
-    target.worker->answer(term, {}, session, sent, now_);
+    const auto hear = [this, id, term, session, sent, node] {
+      Rented& waiting = machines_.at(id);
+      if (is_held(waiting)) return false;
+      if (gave_up(waiting, sent, node)) return true;
+      waiting.reporting = false;
+      waiting.next_report = now_ + from_seconds(settings_.report_s);
+      waiting.worker->answer(term, {}, session, sent, now_);
+      return true;
+    };
+    if (!hear()) repeat(kStep, hear);
   });
   return true;
 }
@@ -1139,29 +1179,52 @@
     }
   }
   const Term term = engine.term();
-  if (parted(nodes_[node].zone, nodes_[via].zone)) return;  // the way back to who passed the report on is cut
+  if (apart(node, via)) return;  // the way back to who passed the report on is cut
   after(delay(), [this, id, commands, term, session = report.session, sent, node = via] {
     Rented& target = machines_.at(id);
     if (target.gone || !target.reporting || target.node != node || !target.worker->alive) return;
     if (!is_heard(node, target) || target.worker->hung) return;  // lost, or too late when it goes on
-    target.reporting = false;
     const double jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
-    target.next_report = now_ + from_seconds(settings_.report_s * jitter);
-    if (!commands) {
-      const NodeName& leader = nodes_[node].leader_seen;
-      target.node = (node + 1) % nodes_.size();
-      target.next_report = now_ + Millis(1000);
-      if (const auto other = node_of(leader); other && *other != node) {
-        target.node = *other;
-        target.next_report = now_ + Millis(200);
-      }
-      return;
-    }
-    target.worker->answer(term, *commands, session, sent, now_);
-    if (!commands->empty()) target.next_report = now_ + Millis(500);
+    const auto hear = [this, id, commands, term, session, sent, node, jitter] {
+      Rented& waiting = machines_.at(id);
+      if (is_held(waiting)) return false;
+      if (!gave_up(waiting, sent, node)) hear_answer(waiting, commands, term, session, sent, jitter);
+      return true;
+    };
+    if (!hear()) repeat(kStep, hear);
   });
 }
 
+bool World::is_held(const Rented& machine) {
+  if (now_ >= machine.held_until) return false;
+  ++struck_["hold_commands"];
+  return true;
+}
+
+bool World::gave_up(const Rented& machine, Instant sent, std::size_t node) const {
+  return machine.gone || !machine.worker->alive || !machine.reporting || machine.node != node ||
+         now_ - sent > constants::kReportAnswerLimit;
+}
+
+void World::hear_answer(Rented& machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
+                        SessionNo session, Instant sent, double jitter) {
+  const std::size_t node = machine.node;
+  machine.reporting = false;
+  machine.next_report = now_ + from_seconds(settings_.report_s * jitter);
+  if (!commands) {
+    const NodeName& leader = nodes_[node].leader_seen;
+    machine.node = (node + 1) % nodes_.size();
+    machine.next_report = now_ + Millis(1000);
+    if (const auto other = node_of(leader); other && *other != node) {
+      machine.node = *other;
+      machine.next_report = now_ + Millis(200);
+    }
+    return;
+  }
+  machine.worker->answer(term, *commands, session, sent, now_);
+  if (!commands->empty()) machine.next_report = now_ + Millis(500);
+}
+
 const wire::JobSpec* World::job(const JobId& id) {
   const auto found = submissions_.find(id);
   return found == submissions_.end() ? nullptr : &found->second.spec;
@@ -1182,13 +1245,101 @@
 
 void World::on_gone(const TaskKey& task, AttemptNo attempt, const MachineId& id, bool done) {
   served_.on_gone(task, attempt, now_);
-  if (done) done_.insert(task);
+  const bool completed = done && done_.insert(task).second;
   where_[task].erase(id);
   rules_.on_gone(task, id, done, now_);
+  if (completed && all_done(task.job)) history_.on_ended(task.job, now_ - rules_.calm_since() > kSettled, now_);
+  if (completed && now_ < close_looks_until_ && all_done(task.job)) look_closely(task.job);
+  if (completed && now_ < cancels_at_end_.until && all_done(task.job) && lucky(cancels_at_end_.share)) {
+    ++struck_["cancel_at_end"];
+    cancel(task.job);
+  }
+}
+
+std::vector<std::string> World::broken() const {
+  std::vector<std::string> all = rules_.broken();
+  all.insert(all.end(), history_.broken().begin(), history_.broken().end());
+  return all;
+}
+
+std::vector<Rules::Machine> World::machines_for_rules() const {
+  std::vector<Rules::Machine> found;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.gone || !machine.worker || !machine.worker->alive) continue;
+    const Worker& worker = *machine.worker;
+    const wire::MachineType& type =
+        std::ranges::find(supplies_, machine.type, [](const Supply& supply) { return supply.type.name; })->type;
+    found.push_back({.place = {.machine = id, .type = machine.type, .zone = machine.zone, .spot = machine.spot},
+                     .cpus = type.cpus,
+                     .gpus = type.gpus,
+                     .ram_gb = type.ram_gb,
+                     .tasks = {},
+                     .usable = !machine.cut && now_ >= std::max(machine.deaf_until, machine.mute_until) &&
+                               !worker.hung && !worker.faulty && !worker.taken_at &&
+                               settings_.in_service(machine.zone)});
+    for (const auto& [key, attempt] : worker.attempts()) {
+      if (attempt.state != wire::TaskState::ended) found.back().tasks.push_back(key.first);
+    }
+  }
+  return found;
 }
 
 // ---- users ----
 
+History::Answer World::told_by(const user_api::Reply& reply) {
+  History::Answer answer{.status = reply.status, .state = {}};
+  if (reply.status == 200 || reply.status == 201) answer.state = wire::job_status_from(reply.body).state;
+  return answer;
+}
+
+void World::serve(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> request, Millis limit,
+                  Heard then) {
+  const Instant until = now_ + limit;
+  const History::Number number = history_.on_asked(asked.request, asked.job, node, now_);
+  const auto step = [this, node, number, request, until, then](const auto& self) -> void {
+    if (const auto* reply = request->reply()) {
+      if (now_ > until || !in_users_reach(node)) return;
+      history_.on_answered(number, told_by(*reply), now_);
+      then(*reply);
+      return;
+    }
+    if (const auto* read = std::get_if<user_api::Request::Read>(&request->step())) {
+      return call_state<state::GetResult>(
+          node, Duty::users, [key = read->key](StateStore& store) { return store.get(key); },
+          [request, self](const state::GetResult& found) {
+            request->on_read(found);
+            self(self);
+          });
+    }
+    call_state<state::TxnResult>(
+        node, Duty::users,
+        [this, txn = std::get<state::Txn>(request->step())](StateStore& store) {
+          const state::TxnResult result = store.txn(txn);
+          const state::Change& change = txn.changes.front();
+          const auto job = state::job_of_key(change.key);
+          const bool created = job && change.data && change.key == state::live_key(*job);
+          if (result.answer == Answer::ok && created) rules_.on_created(*job);
+          return result;
+        },
+        [request, self](const state::TxnResult& result) {
+          request->on_written(result);
+          self(self);
+        });
+  };
+  step(step);
+}
+
+user_api::Known World::known(std::size_t node) {
+  return {.settings = settings_,
+          .finals = *nodes_[node].finals,
+          .types = nodes_[node].engine->types(),
+          .wall_ms = wall_ms()};
+}
+
+std::shared_ptr<user_api::Request> World::submission(std::size_t node, const wire::Value& body) {
+  return std::make_shared<user_api::Request>(user_api::Request::submission(known(node), wire::encode(body)));
+}
+
 void World::submit(const Submission& submission) {
   const JobId id = submission.spec.id;
   submissions_[id] = submission;
@@ -1199,62 +1350,145 @@
   const auto retry = [this, submission] { after(Millis(1000), [this, submission] { submit(submission); }); };
   if (!nodes_[node].alive) return retry();
   // A node that ends answers nobody; the user tries again after 5 s.
-  after(Millis(5000), [this, id, retry] {
-    if (std::ranges::find(accepted_, id) == accepted_.end()) retry();
+  after(kSubmitLimit, [this, id, retry] {
+    if (!is_accepted(id)) retry();
   });
-  call_state<state::TxnResult>(
-      node, Duty::users,
-      [this, record = state::new_job(submission.spec, wall_ms())](StateStore& store) {
-        const state::TxnResult result = store.txn(state::accept_txn(record));
-        if (result.answer == Answer::ok) rules_.on_created(record.spec.id);
-        return result;
-      },
-      [this, id, submission](const state::TxnResult& result) {
-        if (result.answer != Answer::ok && result.answer != Answer::conflict) return;
-        if (std::ranges::find(accepted_, id) == accepted_.end()) accepted_.push_back(id);
-        rules_.on_accepted(id, now_);
-        copy_late([this, submission] { submit(submission); });
-      });
+  const wire::Value sent = wire::to_value(submission.spec);
+  serve(node, {History::Request::submission, id}, this->submission(node, sent), kSubmitLimit,
+        [this, id, submission, sent](const user_api::Reply& reply) {
+          if (reply.status != 200 && reply.status != 201) return;
+          const bool fresh = !is_accepted(id);
+          if (fresh) accepted_.push_back(id);
+          rules_.on_accepted(sent, now_);
+          copy_late([this, submission] { submit(submission); });
+          if (fresh) look_closely(id);
+        });
 }
 
-void World::cancel(const JobId& id) {
+void World::cancel(const JobId& id, std::optional<std::size_t> at) {
   if (cancelled_.contains(id)) return;
-  const std::size_t node = std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_);
-  const auto retry = [this, id] { after(Millis(1000), [this, id] { cancel(id); }); };
+  const std::size_t node = at.value_or(std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_));
+  const auto retry = [this, id, at] { after(Millis(1000), [this, id, at] { cancel(id, at); }); };
   if (!nodes_[node].alive) return retry();
-  after(Millis(5000), [this, id] { cancel(id); });
-  struct Seen {
-    Answer answer = Answer::none;
-    state::GetResult live;
-    state::GetResult over;
-  };
-  call_state<Seen>(
-      node, Duty::users,
-      [id](StateStore& store) {
-        return Seen{Answer::ok, store.get(state::live_key(id)), store.get(state::over_key(id))};
-      },
-      [this, id, node](const Seen& seen) {
-        if (seen.answer != Answer::ok) return;
-        if (seen.over.answer == Answer::ok) {
-          cancelled_.insert(id);
-          return rules_.on_told(id, state::over_from(id, seen.over.entry.data).state, now_);
+  after(kSubmitLimit, [this, id, at] { cancel(id, at); });
+  auto request = std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text()));
+  serve(node, {History::Request::cancellation, id}, std::move(request), kSubmitLimit,
+        [this, id](const user_api::Reply& reply) {
+          if (reply.status != 200) return;
+          const bool fresh = cancelled_.insert(id).second;
+          const wire::JobState state = wire::job_status_from(reply.body).state;
+          rules_.on_told(id, state, now_);
+          if (state != wire::JobState::withdrawn) return;
+          served_.on_over(id);
+          copy_late([this, id] {
+            cancelled_.erase(id);
+            cancel(id);
+          });
+          if (fresh) look_closely(id);
+        });
+}
+
+void World::request(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> made) {
+  const JobId& id = asked.job;
+  const bool accepted = is_accepted(id);
+  const bool over = rules_.is_over(id);
+  serve(node, asked, std::move(made), kPollLimit, [this, id = id, accepted, over](const user_api::Reply& reply) {
+    if (reply.status == 503) return;
+    if (reply.status != 200 && reply.status != 201) {
+      if (accepted) rules_.on_told_unknown(id);
+      return;
+    }
+    const wire::JobState state = wire::job_status_from(reply.body).state;
+    const bool last = state == wire::JobState::done || state == wire::JobState::withdrawn;
+    // Another node may have told of the end after this one had read.
+    if (!last && !over && rules_.is_over(id)) return;
+    rules_.on_told(id, state, now_);
+    if (last) served_.on_over(id);
+  });
+}
+
+void World::odd_requests(double for_s) {
+  trouble(for_s);
+  const bool running = now_ < odd_requests_until_;
+  odd_requests_until_ = std::max(odd_requests_until_, now_ + from_seconds(for_s));
+  if (!running) odd_request();
+}
+
+void World::odd_request() {
+  if (now_ >= odd_requests_until_) return;
+  after(from_seconds(between(kOddPauseLeast, kOddPauseMost)), [this] { odd_request(); });
+  const auto node = static_cast<std::size_t>(between(0, static_cast<double>(nodes_.size())));
+  if (!in_users_reach(node) || accepted_.empty()) return;
+  ++struck_["odd_requests"];
+  const JobId& id = accepted_[static_cast<std::size_t>(between(0, static_cast<double>(accepted_.size())))];
+  const wire::JobSpec& spec = submissions_.at(id).spec;
+  if (lucky(0.5)) return submit_oddly(node, spec);
+  if (rules_.is_over(id)) {
+    request(node, {History::Request::cancellation, id},
+            std::make_shared<user_api::Request>(user_api::Request::cancellation(known(node), id.text())));
+    return;
+  }
+  request(node, {History::Request::submission, id},
+          submission(node, lucky(0.3) ? without_a_field(spec) : wire::to_value(spec)));
+}
+
+// All that is left out where it may be, and another field as well.
+wire::Value World::without_a_field(wire::JobSpec spec) {
+  spec.types.clear();
+  spec.zone.clear();
+  spec.deadline_s.reset();
+  wire::Value body = wire::to_value(spec);
+  wire::Value::Map& fields = *body.as_map();
+  fields.erase(fields.begin() + static_cast<std::ptrdiff_t>(between(1, static_cast<double>(fields.size()))));
+  return body;
+}
+
+// A job like an accepted one that can never run, or whose submission lacks a field.
+void World::submit_oddly(std::size_t node, wire::JobSpec spec) {
+  std::string number = std::to_string(++odd_jobs_);
+  spec.id = JobId("j-9" + std::string(6 - std::min<std::size_t>(6, number.size()), '0') + number);
+  wire::Value body;
+  if (lucky(0.5)) {
+    switch (static_cast<int>(between(0, 5))) {
+      case 0: spec.cpus *= 1e4; break;
+      case 1: spec.team = "nobody"; break;
+      case 2: spec.types = {"no such type"}; break;
+      case 3: spec.zone = "no such zone"; break;
+      default: spec.ram_gb *= 1e6; break;
+    }
+    body = wire::to_value(spec);
+  } else {
+    body = without_a_field(spec);
+  }
+  serve(node, {History::Request::submission, spec.id}, submission(node, body), kSubmitLimit,
+        [this, id = spec.id](const user_api::Reply& reply) {
+          // Nobody has submitted it in a form that could run.
+          if (reply.status == 200 || reply.status == 201) rules_.on_told(id, wire::JobState::pending, now_);
+        });
+}
+
+void World::close_looks(double for_s) {
+  trouble(for_s);
+  close_looks_until_ = std::max(close_looks_until_, now_ + from_seconds(for_s));
+}
+
+void World::look_closely(const JobId& id) {
+  if (now_ >= close_looks_until_) return;
+  for (const Millis pause : kLooks) {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      after(pause + from_seconds(between(0, 0.004)), [this, id, node] {
+        if (!in_users_reach(node)) return;
+        ++struck_["close_looks"];
+        const bool repeats = lucky(0.3);
+        if (repeats) {
+          request(node, {History::Request::submission, id}, submission(node, wire::to_value(submissions_.at(id).spec)));
+        } else {
+          request(node, {History::Request::question, id},
+                  std::make_shared<user_api::Request>(user_api::Request::question(known(node), id.text())));
         }
-        if (seen.live.answer != Answer::ok) return;
-        call_state<state::TxnResult>(
-            node, Duty::users,
-            [txn = state::withdraw_txn(state::job_from(seen.live.entry.data), seen.live.entry.mark)](
-                StateStore& store) { return store.txn(txn); },
-            [this, id](const state::TxnResult& result) {
-              if (result.answer != Answer::ok) return;
-              cancelled_.insert(id);
-              rules_.on_told(id, wire::JobState::withdrawn, now_);
-              served_.on_over(id);
-              copy_late([this, id] {
-                cancelled_.erase(id);
-                cancel(id);
-              });
-            });
       });
+    }
+  }
 }
 
 std::optional<wire::JobStatus> World::ask(const JobId& id) {
@@ -1288,15 +1522,19 @@
     if (!all && rules_.is_over(id)) continue;
     const auto node = balancer_.choose([this](std::size_t one) { return in_users_reach(one); }, users_luck_, now_);
     if (!node || state_out_ || nodes_[*node].cut_from_state || refused(*node) || late(*node, Duty::users)) continue;
+    const History::Number asked = history_.on_asked(History::Request::question, id, *node, now_);
     if (const auto status = ask(id)) {
+      history_.on_answered(asked, {.status = 200, .state = status->state}, now_);
       rules_.on_told(id, status->state, now_);
       if (rules_.is_over(id)) served_.on_over(id);
     } else {
+      history_.on_answered(asked, {.status = 404, .state = {}}, now_);
       rules_.on_told_unknown(id);
     }
   }
   rules_.check(now_);
   rules_.check_answers(now_);
+  rules_.check_waiting(machines_for_rules(), now_);
   for (const Node& node : nodes_) {
     if (!node.alive || !node.engine->leading()) continue;
     if (const auto fault = node.engine->disagreement()) throw std::logic_error("the books disagree: " + *fault);
@@ -1320,6 +1558,7 @@
     fresh.cut_from_workers = nodes_[node].cut_from_workers;
     fresh.refused_from = nodes_[node].refused_from;
     fresh.refused_until = nodes_[node].refused_until;
+    fresh.alone_until = nodes_[node].alone_until;
     nodes_[node] = std::move(fresh);
     begin_life(node);
     duties(node, nodes_[node].life);
@@ -1502,6 +1741,71 @@
   machine.mute_until = std::max(machine.mute_until, now_ + from_seconds(for_s));
 }
 
+std::optional<Instant> World::runs_until(const JobId& job) const {
+  std::optional<Instant> until;
+  for (auto at = where_.lower_bound({job, 0}); at != where_.end() && at->first.job == job; ++at) {
+    for (const MachineId& id : at->second) {
+      for (const auto& [key, attempt] : machines_.at(id).worker->attempts()) {
+        if (key.first != at->first || attempt.state != wire::TaskState::running) continue;
+        const bool service = attempt.spec.kind == wire::JobKind::service;
+        until = std::max(until.value_or(Instant{}), service ? Instant::max() : *attempt.began + attempt.length);
+      }
+    }
+  }
+  return until;
+}
+
+bool World::all_done(const JobId& job) const {
+  const std::uint32_t tasks = submissions_.at(job).spec.tasks;
+  return std::distance(done_.lower_bound({job, 0}), done_.lower_bound({job, tasks})) == tasks;
+}
+
+void World::cancel_now(std::size_t count, double hang_s) {
+  trouble(hang_s);
+  std::vector<std::pair<Instant, JobId>> running;
+  for (const JobId& id : accepted_) {
+    if (cancelled_.contains(id)) continue;
+    if (const auto until = runs_until(id)) running.emplace_back(*until, id);
+  }
+  std::ranges::sort(running, std::greater{});
+  running.resize(std::min(count, running.size()));
+  std::vector<MachineId> theirs;
+  for (const auto& [unused, id] : running) {
+    ++struck_["cancel_now"];
+    after(from_seconds(between(0, kCancelsWithin)), [this, id = id] { cancel(id); });
+    for (auto at = where_.lower_bound({id, 0}); at != where_.end() && at->first.job == id; ++at) {
+      theirs.insert(theirs.end(), at->second.begin(), at->second.end());
+    }
+  }
+  std::ranges::sort(theirs);
+  theirs.erase(std::ranges::unique(theirs).begin(), theirs.end());
+  std::shuffle(theirs.begin(), theirs.end(), troubles_luck_);
+  theirs.resize(hang_s > 0 ? std::min(kHangingMost, theirs.size()) : 0);
+  for (const MachineId& id : theirs) hang(id, hang_s);
+}
+
+void World::cancel_at_end(double share, double for_s) {
+  trouble(for_s);
+  cancels_at_end_ = {.share = share, .until = now_ + from_seconds(for_s)};
+}
+
+void World::cut_node_from_siblings(std::size_t node, double for_s) {
+  trouble(for_s);
+  Instant& until = nodes_[node].alone_until;
+  until = std::max(until, now_ + from_seconds(for_s));
+}
+
+void World::hold_commands(const MachineId& id, double for_s) {
+  trouble(for_s);
+  Instant& until = machines_.at(id).held_until;
+  until = std::max(until, now_ + from_seconds(for_s));
+}
+
+void World::quick_boots(double for_s) {
+  trouble(for_s);
+  quick_boots_until_ = now_ + from_seconds(for_s);
+}
+
 std::vector<MachineId> World::some_machines(double share) {
   std::vector<MachineId> names = machine_names();
   std::shuffle(names.begin(), names.end(), troubles_luck_);
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -23,10 +23,12 @@
 #include "standby/listener.h"
 #include "standby/teller.h"
 #include "standins/balancer.h"
+#include "standins/history.h"
 #include "standins/rules.h"
 #include "standins/served.h"
 #include "standins/state_store.h"
 #include "standins/worker.h"
+#include "user_api/request.h"
 #include "zone/grants.h"
 
 namespace foxshunt::standins {
@@ -61,9 +63,14 @@
   // The pools in force from now on; before the first word of them no node follows the ledger.
   void declare_pools(const std::vector<catalog::PoolDef>& pools);
   void open_windows(bool open) { windows_open_ = open; }
+  // The cloud lists the type no more. There must be no machine of it.
+  void withdraw_type(const std::string& type);
   void start_up(const std::string& type, const std::string& zone, std::size_t count);
   void submit(const Submission& submission);
-  void cancel(const JobId& job);
+  // At that node; or at any one each time that it is tried.
+  void cancel(const JobId& job, std::optional<std::size_t> at = {});
+  // Of workers that begin from now on: true seconds that pass while their steady clocks count one.
+  void drift_workers(double rate) { worker_rate_ = rate; }
   void crash(std::size_t node, double for_s);
   // The next node that comes to the moment ends in it.
   void crash_during(Moment moment, double for_s) { crashes_during_.emplace(moment, for_s); }
@@ -103,10 +110,28 @@
   void make_deaf(const MachineId& machine, double for_s);
   // It opens no connection to a controller; direct commands reach it.
   void make_mute(const MachineId& machine, double for_s);
+  // So many of the running jobs, those first that have longest to go, are called off within a fifth of a second; up to
+  // eight of their machines hang for so long.
+  void cancel_now(std::size_t count, double hang_s);
+  // That share of the jobs whose last task completes is called off at that moment.
+  void cancel_at_end(double share, double for_s);
+  // Neither hears siblings nor is heard by them.
+  void cut_node_from_siblings(std::size_t node, double for_s);
+  // Direct commands and answers of reports arrive there when it is over; a worker has then given up most reports.
+  void hold_commands(const MachineId& machine, double for_s);
+  // Machines that are rented meanwhile are up in under two seconds.
+  void quick_boots(double for_s);
+  // Users repeat submissions of unfinished jobs, also without a field, cancel jobs that are done, and submit jobs that
+  // can never run or lack a field.
+  void odd_requests(double for_s);
+  // Users ask at all nodes, again and again within milliseconds, and repeat the submission, once a job was accepted,
+  // has ended or was confirmed as cancelled.
+  void close_looks(double for_s);
   // That share of the machines that are up, and those of a zone.
   [[nodiscard]] std::vector<MachineId> some_machines(double share);
   [[nodiscard]] std::vector<MachineId> machines_in(const std::string& zone) const;
   // How often a trouble has struck so far, by the name of its command in scenarios.
+  [[nodiscard]] const std::map<std::string, std::size_t>& struck() const { return struck_; }
   [[nodiscard]] std::size_t struck(const std::string& trouble) const;
   // In force from now on; all controllers follow the records from then on.
   void declare(const catalog::Set& set);
@@ -119,7 +144,9 @@
   // What a user would be told now by some node that is in reach; nothing when there is none.
   [[nodiscard]] std::optional<wire::JobStatus> ask(const JobId& job);
   [[nodiscard]] Rules& rules() { return rules_; }
+  [[nodiscard]] std::vector<std::string> broken() const;  // of rules and of what users were told
   [[nodiscard]] std::vector<Served::Share> shares() const { return served_.shares(now_); }
+  [[nodiscard]] std::vector<std::string> served_verdicts() const { return served_.verdicts(now_); }
   // Decides whether a node that is alive and in reach answers GET /up with 200; by default whether it has heard of the
   // state service lately.
   std::function<bool(std::size_t)> up = [this](std::size_t node) { return hears_state(node); };
@@ -184,6 +211,7 @@
   };
   struct Node {
     std::unique_ptr<control::Engine> engine;
+    std::unique_ptr<user_api::FinalStates> finals;
     std::uint64_t life = 0;  // grows with each restart; what an earlier life asked is not answered
     bool alive = true;
     bool cut_from_state = false;
@@ -191,6 +219,7 @@
     bool cut_from_workers = false;
     Instant refused_from;  // by the state service
     Instant refused_until;
+    Instant alone_until;  // without siblings
     state::LeaseId lease;
     Revision follow_from;
     NodeName leader_seen;
@@ -239,12 +268,17 @@
     bool changed = false;
     Instant deaf_until;
     Instant mute_until;
+    Instant held_until;  // what is sent to it
   };
   struct LateWrites {
     double share = 0;
     Instant until;
     bool at_once = false;
   };
+  struct CancelsAtEnd {
+    double share = 0;
+    Instant until;
+  };
   struct LateReports {
     double share = 0;
     Instant until;
@@ -258,7 +292,11 @@
   void repeat(Millis span, std::function<bool()> what);
   void after(Millis span, std::function<void()> what);
   [[nodiscard]] Millis delay();
-  void trouble(double for_s) { rules_.on_trouble(now_ + control::from_seconds(for_s)); }
+  void trouble(double for_s) {
+    rules_.on_trouble(now_ + control::from_seconds(for_s));
+    history_.on_trouble(now_);
+  }
+  [[nodiscard]] std::vector<Rules::Machine> machines_for_rules() const;
   // The node is in the middle of it, and may end here.
   void reached(Moment moment, std::size_t node);
   // Perhaps, if there are late copies.
@@ -277,6 +315,9 @@
   void hear_copy(std::size_t node, const wire::Report& report);
   void copy_report(const wire::Report& report);
   void on_new_leader();
+  // When the job's running tasks end; nothing if none runs.
+  [[nodiscard]] std::optional<Instant> runs_until(const JobId& job) const;
+  [[nodiscard]] bool all_done(const JobId& job) const;
   [[nodiscard]] bool late(std::size_t node, Duty duty) const;
   void peer_duty(std::size_t node);
   void ask_duty(std::size_t node);
@@ -286,6 +327,8 @@
   [[nodiscard]] config::Settings settings_of(std::size_t node) const;
   void begin_life(std::size_t node);
   [[nodiscard]] bool parted(const std::string& one, const std::string& other) const;
+  // Of nodes.
+  [[nodiscard]] bool apart(std::size_t one, std::size_t other) const;
   [[nodiscard]] bool hears(std::size_t node, std::size_t sibling) const;
   // With what the node itself was granted; false if that is nothing.
   bool answer_by_grant(const MachineId& id, const wire::Report& report, Instant sent, std::size_t node,
@@ -317,9 +360,35 @@
   [[nodiscard]] bool reaches(std::size_t node, const Rented& machine) const;
   // What a node sends to it, be it an answer or a command.
   [[nodiscard]] bool is_heard(std::size_t node, const Rented& machine);
+  [[nodiscard]] bool is_held(const Rented& machine);
+  // Whether the worker waits no longer for the node's answer to what it sent then.
+  [[nodiscard]] bool gave_up(const Rented& machine, Instant sent, std::size_t node) const;
+  void hear_answer(Rented& machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
+                   SessionNo session, Instant sent, double jitter);
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
   [[nodiscard]] std::vector<wire::MachineType> types() const;
   [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
+  // As src/node/front.cpp does. Nothing comes back if the node ends, or its answer comes too late for its user.
+  using Heard = std::function<void(const user_api::Reply&)>;
+  struct Asked {
+    History::Request request;
+    JobId job;
+  };
+  // The user's history tells of it. What the node answers within the limit, and while users reach it, is heard.
+  void serve(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> request, Millis limit,
+             Heard then);
+  [[nodiscard]] static History::Answer told_by(const user_api::Reply& reply);
+  [[nodiscard]] user_api::Known known(std::size_t node);
+  [[nodiscard]] std::shared_ptr<user_api::Request> submission(std::size_t node, const wire::Value& body);
+  // A request whose answer is held against the rules only if it can't have been overtaken by another one.
+  void request(std::size_t node, const Asked& asked, std::shared_ptr<user_api::Request> made);
+  void odd_request();
+  [[nodiscard]] wire::Value without_a_field(wire::JobSpec spec);
+  void submit_oddly(std::size_t node, wire::JobSpec spec);
+  void look_closely(const JobId& job);
+  [[nodiscard]] bool is_accepted(const JobId& job) const {
+    return std::ranges::find(accepted_, job) != accepted_.end();
+  }
   // Whether users' connections reach the node.
   [[nodiscard]] bool in_users_reach(std::size_t node) const;
   void probe_nodes();
@@ -351,12 +420,18 @@
   bool late_copies_ = false;
   LateWrites late_writes_;
   LateReports late_reports_;
+  CancelsAtEnd cancels_at_end_;
+  Instant quick_boots_until_;
+  Instant odd_requests_until_;
+  Instant close_looks_until_;
+  std::size_t odd_jobs_ = 0;
   std::vector<wire::Report> reports_for_next_;  // copies that wait for the next leader
   std::map<std::string, std::size_t> struck_;
   std::multimap<Moment, double> crashes_during_;
   Balancer balancer_;
   std::uint64_t polls_ = 0;
   Millis worker_step_;
+  double worker_rate_ = 1;
   std::size_t places_per_step_;
   std::vector<Node> nodes_;
   std::map<MachineId, Rented> machines_;
@@ -371,6 +446,7 @@
   std::vector<JobId> accepted_;
   std::set<JobId> cancelled_;
   Rules rules_;
+  History history_;
   Served served_;
   std::size_t next_machine_ = 0;
   catalog::Set set_;
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -214,6 +214,42 @@
   EXPECT_TRUE(engine_.jobs().empty() || engine_.jobs().at(kJob).withdrawn);
 }
 
+// A write that failed on the job's record may have met a cancellation: until the record was read again nobody else may
+// answer the machines of its tasks.
+TEST_F(Leading, GrantsNothingForMachinesOfAJobWhoseRecordHasToBeReadAgain) {
+  lead({placed_on(kSecond, job_of(2))});
+  (void)report(kSecond, 1, Term(7), {task(0, TaskState::running)});
+  zone::Ask ask{.node = NodeName("node-1"), .life = 1, .term = Term(7), .holds = {}, .uses = {}};
+  const auto left_out = [&] {
+    ++ask.sequence;
+    const auto grant = engine_.on_ask(ask, now_);
+    return grant && std::ranges::find(grant->except, kSecond) != grant->except.end();
+  };
+  engine_.plan_pass(now_);
+  const auto batch = engine_.begin_write(now_);
+  ASSERT_TRUE(batch);
+  EXPECT_FALSE(left_out());
+  engine_.end_write(*batch, {.answer = state::Answer::conflict, .revision = {}, .failed = {state::live_key(kJob)}},
+                    now_);
+  EXPECT_TRUE(left_out());
+  const auto reload = engine_.next_reload();
+  ASSERT_TRUE(reload);
+  engine_.on_reloaded(*reload, Revision(3), now_);
+  EXPECT_FALSE(left_out());
+}
+
+// A report of the session before, held up until a new leader has begun, tells of an attempt that has ended there. What the
+// record places in the later session is another start of it, and runs.
+TEST_F(Leading, AnEarlierSessionsReportEndsNothing) {
+  wire::JobSpec spec = job_of(1);
+  state::JobRecord record = state::new_job(spec, 0);
+  record.whole->next = AttemptNo(2);
+  record.whole->runs = {{.index = 0, .attempt = AttemptNo(1), .machine = kFirst, .session = SessionNo(2)}};
+  lead({{.key = state::live_key(spec.id), .data = state::to_value(record), .mark = Revision(2)}});
+  ASSERT_TRUE(report(kFirst, 50, Term(6), {task(0, TaskState::ended, EndReason::done)}));
+  EXPECT_EQ(placed(), 1U);
+}
+
 // Invariant 6: a report that was overtaken teaches nothing, and its answer starts nothing.
 TEST_F(Leading, LearnsNothingFromAnOlderReport) {
   lead();
@@ -337,6 +373,22 @@
   EXPECT_FALSE(engine_.may_answer(now_));
 }
 
+// An answer renews the worker's lease: one that has waited for writes to settle needs the right to answer again. The node may
+// have stood still meanwhile, or lead no longer.
+TEST_F(Leading, AnAnswerThatWaitedNeedsTheRightOnceMore) {
+  lead();
+  ASSERT_TRUE(report(kFirst, 1, Term(7)));
+  EXPECT_TRUE(engine_.later_commands(last_, now_));
+  now_ += Millis(28'100);  // as above
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "it stood still";
+  engine_.confirm_lease(now_);
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "the lease alone tells nothing of cancellations";
+  engine_.confirm_reading(now_);
+  EXPECT_TRUE(engine_.later_commands(last_, now_));
+  engine_.hear_of(Term(8));
+  EXPECT_FALSE(engine_.later_commands(last_, now_)) << "another one leads";
+}
+
 // Invariant 7: a team's limit counts what is placed, whatever the plan says. A pass in portions may outlive the booking
 // of a run that takes longer than estimated; the plan then takes what it uses for free.
 TEST_F(Leading, KeepsTheTeamsLimitWhenAPassOutlivesABooking) {
@@ -478,6 +530,38 @@
   EXPECT_TRUE(engine_.machines().empty());
 }
 
+// Neither a lease nor the zone that grants are reckoned for is taken from a sibling's word: whatever is hinted, a task counts
+// until nobody can have renewed its machine's lease, and no longer. The machine stands in zone b, whose controller answers it.
+class LeadingByHints : public Leading, public testing::WithParamInterface<const char*> {};
+TEST_P(LeadingByHints, ShortenNoLease) {
+  lead({placed_on(kSecond, job_of(1))});
+  if (const std::string zone = GetParam(); !zone.empty()) {
+    standby::Machine machine{.address = "127.0.0.1:1", .type = "plain", .zone = zone, .up = true};
+    standby::Picture told = hints(now_);
+    told.facts[0].what = standby::Shared(machine);
+    engine_.hint(told, now_);
+    ASSERT_EQ(engine_.machines().at(kSecond).zone, zone);
+  }
+  engine_.confirm_lease(now_);
+  engine_.confirm_reading(now_);
+  // Asked for before the machine counts as silent, as it would be left out of the grant otherwise.
+  const auto grant = engine_.on_ask(
+      {.node = NodeName("node-1"), .life = 1, .sequence = 1, .term = Term(7), .holds = {}, .uses = {}}, now_);
+  ASSERT_TRUE(grant);
+  ASSERT_TRUE(grant->except.empty());
+  const Instant end = now_ + grant_spans(settings()).bound + lease_span(settings());
+  ASSERT_GT(end, now_ + Millis(20'000) + lease_span(settings())) << "older leaders' reckoning ends before, by lead()";
+  for (const Instant last = end + Millis(2000); now_ < last; now_ += Millis(1000)) {
+    engine_.confirm_lease(now_);
+    engine_.confirm_reading(now_);
+    engine_.tick(now_);
+    ASSERT_EQ(placed(), now_ <= end ? 1U : 0U) << (end - now_).count() << " ms before the lease's end";
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Zones, LeadingByHints, testing::Values("", "a", "b"), [](const auto& info) {
+  return std::string(info.param).empty() ? std::string("NoHint") : "HintOfZone_" + std::string(info.param);
+});
+
 TEST_F(Leading, AHintedZoneAllowsNoTaskOfAJobInOneZone) {
   wire::JobSpec spec = job_of(2);
   spec.one_zone = true;
--- /dev/null
+++ b/tests/unit/meetings_test.cpp
@@ -0,0 +1,385 @@
+// Two troubles at once, where no day of the emulated world meets them at the very moment: docs/design/meetings.md.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "control/engine.h"
+#include "standins/state_store.h"
+
+namespace foxshunt::control {
+namespace {
+
+using wire::CommandKind;
+using wire::EndReason;
+using wire::TaskState;
+
+const MachineId kFirst("m-000001");
+const MachineId kSecond("m-000002");
+const JobId kJob("j-000001");
+
+config::Settings settings() {
+  config::Settings settings;
+  settings.zones = {"a", "b"};
+  settings.teams = {{.name = "red", .cpus = 32, .cpus_max = 32, .gpus = 0, .gpus_max = 0}};
+  settings.report_s = 1;
+  settings.lease_s = 10;
+  settings.cancel_s = 40;
+  settings.state_value_kb = 8;
+  settings.state_txn_ops = 12;
+  settings.operators.may_rent = false;
+  return settings;
+}
+
+wire::JobSpec job_of(std::uint32_t tasks, wire::JobKind kind = wire::JobKind::array) {
+  wire::JobSpec spec;
+  spec.id = kJob;
+  spec.job_class = "work";
+  spec.team = "red";
+  spec.kind = kind;
+  spec.tasks = tasks;
+  spec.cpus = 8;
+  spec.image = "img";
+  spec.estimate_s = 60;
+  return spec;
+}
+
+class Meetings : public testing::Test {
+ protected:
+  Meetings() : engine_(settings()) {
+    engine_.on_types({{.name = "plain", .cpus = 16, .ram_gb = 64, .price = 1, .boot_s = 10, .zones = {"a", "b"}}});
+  }
+
+  void lead(Term term, Revision mark, std::vector<state::Entry> live = {}, std::vector<state::Entry> linger = {}) {
+    Takeover takeover;
+    takeover.term = term;
+    takeover.term_mark = mark;
+    takeover.others_until = now_ + Millis(20'000);
+    takeover.live = std::move(live);
+    takeover.linger = std::move(linger);
+    engine_.lead(takeover, now_);
+    know_all();
+  }
+
+  void know_all() {
+    engine_.confirm_lease(now_);
+    engine_.confirm_reading(now_);
+  }
+
+  static wire::TaskReport task(std::uint32_t index, TaskState state, EndReason reason = EndReason::none) {
+    return {.task = {kJob, index}, .attempt = AttemptNo(1), .state = state, .reason = reason, .saved = false};
+  }
+
+  std::optional<std::vector<wire::Command>> report(const MachineId& machine, std::uint64_t session,
+                                                   std::uint64_t sequence, Term seen,
+                                                   std::vector<wire::TaskReport> tasks) {
+    wire::Report made;
+    made.machine = machine;
+    made.address = "127.0.0.1:1";
+    made.type = "plain";
+    made.zone = "a";
+    made.session = SessionNo(session);
+    made.sequence = sequence;
+    made.term = seen;
+    made.tasks = std::move(tasks);
+    return engine_.on_report(made, now_);
+  }
+
+  // A record that places the job's tasks, by index, with its first attempt.
+  static state::Entry placed(const std::string& key, const wire::JobSpec& spec,
+                             const std::vector<std::pair<MachineId, std::uint64_t>>& machines_and_sessions) {
+    state::JobRecord record = state::new_job(spec, 0);
+    record.whole->next = AttemptNo(2);
+    std::uint32_t index = 0;
+    for (const auto& [machine, session] : machines_and_sessions) {
+      record.whole->runs.push_back(
+          {.index = index++, .attempt = AttemptNo(1), .machine = machine, .session = SessionNo(session)});
+    }
+    return {.key = key, .data = state::to_value(record), .mark = Revision(2)};
+  }
+
+  Instant now_{Millis(1'000'000)};
+  Engine engine_;
+};
+
+// The machine lost its session while its gang gathered, and got the lost task again, with the same attempt number, in its
+// next one. What it had told before, that its start was refused, was held up until a leader with no memory has begun.
+TEST_F(Meetings, AReportOfTheSessionBeforeTellsANewLeaderNothingOfTheSameAttempt) {
+  const wire::JobSpec spec = job_of(2, wire::JobKind::gang);
+  lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kFirst, 2}, {kSecond, 1}})});
+  ASSERT_TRUE(report(kFirst, 1, 40, Term(6), {task(0, TaskState::ended, EndReason::no_room)}));
+  EXPECT_EQ(engine_.jobs().at(kJob).runs_count, 2U) << "the task is taken for gone while it runs";
+  ASSERT_TRUE(report(kFirst, 2, 3, Term(7), {task(0, TaskState::running)}));
+  ASSERT_TRUE(report(kSecond, 1, 50, Term(7), {task(1, TaskState::running)}));
+  EXPECT_EQ(engine_.jobs().at(kJob).runs_count, 2U);
+  for (const auto& [unused, run] : engine_.jobs().at(kJob).parts[0].runs) EXPECT_FALSE(run.halting);
+}
+
+// A new leader reads live/ and then linger/. A job that is called off between the two is found in both; it is one job, whose
+// tasks count once for the limit, are proved gone, and are forgotten.
+TEST_F(Meetings, AJobCalledOffWhileTheRecordsAreReadIsOneJob) {
+  const wire::JobSpec spec = job_of(2);
+  lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})},
+       {placed(state::linger_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})});
+  EXPECT_EQ(engine_.disagreement(), std::nullopt);
+  ASSERT_TRUE(engine_.jobs().contains(kJob));
+  EXPECT_TRUE(engine_.jobs().at(kJob).withdrawn);
+  engine_.on_job_removed(kJob, now_);  // by the watch, which begins at what was read first
+  wire::JobSpec next = job_of(4);
+  next.id = JobId("j-000002");
+  engine_.on_job_record(next.id, state::to_value(state::new_job(next, 0)), Revision(20), 0, now_);
+  for (const char* name : {"m-000001", "m-000002", "m-000003"}) (void)report(MachineId(name), 1, 10, Term(7), {});
+  EXPECT_FALSE(engine_.jobs().at(kJob).runs_count > 0) << "what is proved gone counts still";
+  engine_.plan_pass(now_);
+  EXPECT_EQ(engine_.jobs().at(next.id).runs_count, 4U) << "of 8 CPUs each, for a limit of 32";
+  const auto write = engine_.begin_write(now_);
+  ASSERT_TRUE(write);
+  engine_.end_write(*write, {.answer = state::Answer::ok, .revision = Revision(30), .failed = {}}, now_);
+  EXPECT_FALSE(engine_.jobs().contains(kJob)) << "it is never forgotten";
+  EXPECT_EQ(engine_.disagreement(), std::nullopt);
+}
+
+// The watch was too far behind, and the whole list was asked for; its answer was held up until the node leads once more. A
+// job that was accepted meanwhile is not in it, and one that is over is.
+TEST_F(Meetings, AListThatAnEarlierLeadReadTellsTheNextOneNothing) {
+  lead(Term(7), Revision(1));
+  wire::JobSpec over = job_of(1);
+  over.id = JobId("j-000009");
+  const std::vector<state::Entry> before{placed(state::live_key(over.id), over, {{kFirst, 1}})};
+  lead(Term(9), Revision(50), {placed(state::live_key(kJob), job_of(1), {{kSecond, 1}})});
+  EXPECT_FALSE(engine_.on_job_list(Term(7), before, 0, now_));
+  EXPECT_FALSE(engine_.jobs().at(kJob).withdrawn) << "an accepted job would never run";
+  EXPECT_FALSE(engine_.jobs().contains(over.id)) << "it is over";
+  // What this lead reads counts.
+  EXPECT_TRUE(engine_.on_job_list(Term(9), before, 0, now_));
+  EXPECT_TRUE(engine_.jobs().at(kJob).withdrawn);
+  EXPECT_TRUE(engine_.jobs().contains(over.id));
+}
+
+// Tasks that are to be spread over zones lose their leader and a machine that nobody has heard of since: until it is known
+// where that one stands, the next task may be one too many in its zone.
+TEST_F(Meetings, NoTaskIsSpreadBesideOneWhoseZoneIsUnknown) {
+  wire::JobSpec spec = job_of(2);
+  spec.spread = true;
+  lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kSecond, 1}})});
+  (void)report(kFirst, 1, 10, Term(7), {});
+  engine_.plan_pass(now_);
+  EXPECT_EQ(engine_.jobs().at(kJob).runs_count, 1U);
+  (void)report(kSecond, 1, 10, Term(7), {task(0, TaskState::running)});  // in zone a as well
+  engine_.plan_pass(now_);
+  EXPECT_EQ(engine_.jobs().at(kJob).runs_count, 1U);
+}
+
+// Leaders, users and a state service that carries a transaction out when the test says so.
+class MeetingsAtTheStore : public Meetings {
+ protected:
+  MeetingsAtTheStore() : next_(settings()) { next_.on_types(engine_.types()); }
+
+  void take_lead(Engine& engine, const NodeName& node) {
+    const state::LeadView view = state::lead_view(store_.get(state::kHolderKey), store_.get(state::kTermKey));
+    const state::LeaseId lease = store_.grant(Millis(4000), now_);
+    const state::TxnResult taken = store_.txn(state::take_lead_txn(view, node, lease, 0));
+    ASSERT_EQ(taken.answer, state::Answer::ok);
+    Takeover takeover;
+    takeover.term = view.record.term.next();
+    takeover.term_mark = taken.revision;
+    takeover.others_until = now_;
+    takeover.live = store_.list(state::kLivePrefix).entries;
+    takeover.linger = store_.list(state::kLingerPrefix).entries;
+    engine.lead(takeover, now_);
+    engine.confirm_lease(now_);
+    engine.confirm_reading(now_);
+  }
+
+  state::TxnResult submit(const wire::JobSpec& spec) { return store_.txn(state::accept_txn(state::new_job(spec, 0))); }
+
+  // What the leader's watch tells.
+  void follow(Engine& engine) {
+    const state::FollowResult news = store_.follow(state::kLivePrefix, seen_);
+    for (const state::Event& event : news.events) {
+      const JobId id = *state::job_of_key(event.key);
+      if (event.data) {
+        engine.on_job_record(id, *event.data, event.mark, 0, now_);
+      } else {
+        engine.on_job_removed(id, now_);
+      }
+    }
+    seen_ = news.revision;
+  }
+
+  std::optional<std::vector<wire::Command>> report_to(Engine& engine, std::vector<wire::TaskReport> tasks = {}) {
+    wire::Report made;
+    made.machine = kFirst;
+    made.address = "127.0.0.1:1";
+    made.type = "plain";
+    made.zone = "a";
+    made.session = SessionNo(1);
+    made.sequence = ++sequence_;
+    made.term = engine.term();
+    made.tasks = std::move(tasks);
+    return engine.on_report(made, now_);
+  }
+
+  // The write that the engine wants next; what becomes of it is the test's.
+  WriteBatch written(Engine& engine) {
+    const auto batch = engine.begin_write(now_);
+    EXPECT_TRUE(batch);
+    return batch.value_or(WriteBatch{});
+  }
+  void carry_out(Engine& engine) {
+    const WriteBatch batch = written(engine);
+    engine.end_write(batch, store_.txn(batch.txn), now_);
+  }
+  void lose_answer(Engine& engine, const WriteBatch& batch) {
+    engine.end_write(batch, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
+  }
+  static bool starts(const std::optional<std::vector<wire::Command>>& commands) {
+    return commands && std::ranges::any_of(
+                           *commands, [](const wire::Command& command) { return command.kind == CommandKind::run; });
+  }
+  [[nodiscard]] bool is_live() const { return store_.get(state::live_key(kJob)).answer == state::Answer::ok; }
+
+  standins::StateStore store_;
+  Engine next_;
+  Revision seen_;
+  std::uint64_t sequence_ = 0;
+};
+
+// New machines get work at once while writes lag, and the leader ends: its placement is carried out when its successor has
+// taken the lead and read the records, which know of none.
+TEST_F(MeetingsAtTheStore, APlacementThatLagsIsRefusedOnceTheNextLeads) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch late = written(engine_);
+  lose_answer(engine_, late);
+  EXPECT_FALSE(starts(report_to(engine_))) << "it may never be written";
+  store_.expire(now_ + Millis(9000));
+  take_lead(next_, NodeName("node-1"));
+  EXPECT_EQ(store_.txn(late.txn).answer, state::Answer::conflict);
+  (void)report_to(next_);
+  next_.plan_pass(now_);
+  carry_out(next_);
+  EXPECT_TRUE(starts(report_to(next_))) << "written at once, as nothing came between";
+}
+
+// A transaction without an answer is carried out after newer ones of the same controller: the job has run and is over.
+TEST_F(MeetingsAtTheStore, APlacementThatLagsBringsNothingBackThatIsOver) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch late = written(engine_);
+  lose_answer(engine_, late);
+  carry_out(engine_);
+  ASSERT_TRUE(starts(report_to(engine_)));
+  (void)report_to(engine_, {task(0, TaskState::ended, EndReason::done)});
+  carry_out(engine_);
+  ASSERT_FALSE(is_live());
+  EXPECT_EQ(store_.txn(late.txn).answer, state::Answer::conflict);
+  EXPECT_FALSE(is_live()) << "it would run again, and its user would hear that it waits";
+}
+
+// Only the answer is lost, and others read what was written: the next write meets it, reads it again, and goes on from there.
+TEST_F(MeetingsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch first = written(engine_);
+  ASSERT_EQ(store_.txn(first.txn).answer, state::Answer::ok);
+  lose_answer(engine_, first);
+  carry_out(engine_);
+  EXPECT_FALSE(starts(report_to(engine_))) << "what is there has not been looked at";
+  const auto reload = engine_.next_reload();
+  ASSERT_TRUE(reload);
+  engine_.on_reloaded(*reload, store_.get(reload->key()).entry.mark, now_);
+  carry_out(engine_);
+  EXPECT_TRUE(starts(report_to(engine_)));
+}
+
+// A user's cancellation is carried out late, when the job that it read as waiting runs: it would leave no word of the task.
+// The repeated one does, and the next leader knows of it.
+TEST_F(MeetingsAtTheStore, ACancellationThatLagsMissesNoPlacement) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  const state::Txn late = state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark);
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  carry_out(engine_);
+  ASSERT_TRUE(starts(report_to(engine_)));
+  EXPECT_EQ(store_.txn(late).answer, state::Answer::conflict);
+  const state::GetResult runs = store_.get(state::live_key(kJob));
+  ASSERT_EQ(runs.answer, state::Answer::ok);
+  EXPECT_EQ(store_.txn(state::withdraw_txn(state::job_from(runs.entry.data), runs.entry.mark)).answer,
+            state::Answer::ok);
+  store_.expire(now_ + Millis(9000));
+  take_lead(next_, NodeName("node-1"));
+  ASSERT_TRUE(next_.jobs().contains(kJob)) << "nobody would stop its task, nor count it";
+  EXPECT_EQ(next_.jobs().at(kJob).runs_count, 1U);
+  const auto answer = report_to(next_, {task(0, TaskState::running)});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(std::ranges::count(*answer, CommandKind::halt, &wire::Command::kind), 1);
+}
+
+// A cancellation is confirmed while a placement is on its way: the placement fails, and is never started.
+TEST_F(MeetingsAtTheStore, APlacementMeetsAConfirmedCancellation) {
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  seen_ = store_.revision();
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  const WriteBatch batch = written(engine_);
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  ASSERT_EQ(store_.txn(state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark)).answer,
+            state::Answer::ok);
+  engine_.end_write(batch, store_.txn(batch.txn), now_);
+  EXPECT_FALSE(starts(report_to(engine_)));
+  EXPECT_FALSE(is_live()) << "called off for its user, it would run";
+  follow(engine_);
+  if (const auto reload = engine_.next_reload()) engine_.on_reloaded(*reload, std::nullopt, now_);
+  EXPECT_FALSE(starts(report_to(engine_)));
+  EXPECT_EQ(engine_.jobs().contains(kJob) ? engine_.jobs().at(kJob).runs_count : 0, 0U);
+}
+
+// A cancellation that has read the job as running is carried out just after its last task's end was written, or just before:
+// one of the two fails, and the user hears the other for good.
+TEST_F(MeetingsAtTheStore, ACancellationMeetsTheEndOfTheLastTask) {
+  for (const bool end_first : {true, false}) {
+    SCOPED_TRACE(end_first);
+    store_ = {};
+    sequence_ = 0;
+    ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+    take_lead(engine_, NodeName("node-0"));
+    (void)report_to(engine_);
+    engine_.plan_pass(now_);
+    carry_out(engine_);
+    ASSERT_TRUE(starts(report_to(engine_)));
+    const state::GetResult runs = store_.get(state::live_key(kJob));
+    const state::Txn cancellation = state::withdraw_txn(state::job_from(runs.entry.data), runs.entry.mark);
+    (void)report_to(engine_, {task(0, TaskState::ended, EndReason::done)});
+    const WriteBatch end = written(engine_);
+    EXPECT_EQ(store_.txn(end_first ? end.txn : cancellation).answer, state::Answer::ok);
+    EXPECT_EQ(store_.txn(end_first ? cancellation : end.txn).answer, state::Answer::conflict);
+    const state::GetResult over = store_.get(state::over_key(kJob));
+    ASSERT_EQ(over.answer, state::Answer::ok);
+    EXPECT_EQ(state::over_from(kJob, over.entry.data).state,
+              end_first ? wire::JobState::done : wire::JobState::withdrawn);
+    EXPECT_FALSE(is_live());
+  }
+}
+
+// A submission without an answer is carried out when the repeated one has been accepted and its job is over.
+TEST_F(MeetingsAtTheStore, ASubmissionThatLagsIsRefusedOnceItsJobIsOver) {
+  const state::Txn late = state::accept_txn(state::new_job(job_of(1), 0));
+  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
+  const state::GetResult waiting = store_.get(state::live_key(kJob));
+  ASSERT_EQ(store_.txn(state::withdraw_txn(state::job_from(waiting.entry.data), waiting.entry.mark)).answer,
+            state::Answer::ok);
+  EXPECT_EQ(store_.txn(late).answer, state::Answer::conflict);
+  EXPECT_FALSE(is_live());
+}
+
+}  // namespace
+}  // namespace foxshunt::control
