--- a/tests/scenarios/refusal_days_test.cpp
+++ b/tests/scenarios/refusal_days_test.cpp
@@ -272,7 +272,7 @@
   }
   world.run_until(when.back + kSettles);
 
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   for (const JobId& job : {kService, kArray}) {
     const auto told = world.rules().cancelled_at(job);
     if (!told) {
@@ -407,7 +407,7 @@
     }
   }
   world.run_until(400);
-  for (const std::string& broken : world.rules().broken()) ADD_FAILURE() << broken;
+  for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
   EXPECT_EQ(world.accepted().size(), 9U);
   for (const JobId& id : cancelled) {
     const auto status = world.ask(id);
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -630,7 +630,7 @@
 std::vector<std::filesystem::path> scenario_files() {
   std::vector<std::filesystem::path> files;
   for (const auto& entry : std::filesystem::directory_iterator(FOXSHUNT_SCENARIOS)) {
-    if (entry.path().extension() == ".txt") files.push_back(entry.path());
+    if (entry.path().extension() == ".txt") files.push_back(entry.path().filename());
   }
   std::ranges::sort(files);
   return files;
@@ -641,7 +641,7 @@
 TEST_P(Scenarios, Holds) {
   const char* level = std::getenv("LOG_LEVEL");
   spdlog::set_level(level == nullptr ? spdlog::level::off : spdlog::level::from_str(level));
-  Scenario(GetParam()).run();
+  Scenario(std::filesystem::path(FOXSHUNT_SCENARIOS) / GetParam()).run();
 }
 
 INSTANTIATE_TEST_SUITE_P(Files, Scenarios, testing::ValuesIn(scenario_files()), [](const auto& info) {
