A direct halt goes with the token of the lead that wanted it

Halts that an ended lead left were sent with the next term's token when the same process led again: work that the next lead wants could be lost (no rule is at stake: a halt names an attempt in a session). The halt carries its term now, and what is of an earlier one is dropped. Leading.ADirectHaltNamesTheTermThatWantedIt. Question and cancellation begin alike in one place.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -42,6 +42,7 @@
 using work::WriteBatch;
 
 struct DirectHalt {
+  Term term;  // in which it was decided: its token, whoever leads when it is sent
   MachineId machine;
   std::string address;
   SessionNo session;
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -346,7 +346,8 @@
   for (auto& [id, machine] : machines_) {
     if (!machine.halting || !machine.reported || machine.address.empty()) continue;
     machine.halting = false;
-    DirectHalt halts{.machine = id, .address = machine.address, .session = machine.session, .commands = {}};
+    DirectHalt halts{
+        .term = term_, .machine = id, .address = machine.address, .session = machine.session, .commands = {}};
     for (const TaskKey& key : machine.runs) {
       Run& run = *jobs_.find_run(key);
       machine.halting = machine.halting || run.halting;
--- a/src/node/cloud.cpp
+++ b/src/node/cloud.cpp
@@ -187,13 +187,13 @@
   }
 }
 
-void HaltDuty::send(const control::DirectHalt& halt, Term term) {
+void HaltDuty::send(const control::DirectHalt& halt) {
   const auto address = net::parse_address(halt.address);
   if (!address) return;
   net::HttpClient client(*address, constants::kHaltCallLimit);
   const auto answer = client.call({.method = "POST",
                                    .path = "/commands",
-                                   .body = wire::encode(wire::direct_commands(term, halt.session, halt.commands))},
+                                   .body = wire::encode(wire::direct_commands(halt.term, halt.session, halt.commands))},
                                   net::Clock::now() + constants::kHaltCallLimit);
   // What became of it is learnt from the worker's next report, which alone is proof.
   spdlog::debug("machine {}: told directly to stop {} tasks: {}", halt.machine.text(), halt.commands.size(),
@@ -205,12 +205,8 @@
     std::atomic<bool> done{false};
     std::jthread thread;
   };
-  struct Due {
-    control::DirectHalt halt;
-    Term term;
-  };
   std::map<MachineId, std::unique_ptr<Sender>> senders;
-  std::deque<Due> waiting;  // the oldest first, one a machine
+  std::deque<control::DirectHalt> waiting;  // the oldest first, one a machine
   while (!stop.stop_requested()) {
     context_.halt_signal.wait(stop, !waiting.empty()  ? constants::kTick
                                     : senders.empty() ? constants::kForGood
@@ -225,22 +221,23 @@
     }
     for (control::DirectHalt& halt : due) {
       if (senders.contains(halt.machine)) continue;
-      const auto same = std::ranges::find(waiting, halt.machine, [](const Due& one) { return one.halt.machine; });
+      const auto same = std::ranges::find(waiting, halt.machine, &control::DirectHalt::machine);
       if (same != waiting.end()) {
-        *same = {.halt = std::move(halt), .term = term};
+        *same = std::move(halt);
       } else {
-        waiting.push_back({.halt = std::move(halt), .term = term});
+        waiting.push_back(std::move(halt));
       }
     }
     for (; !waiting.empty() && senders.size() < constants::kHaltsAtOnce; waiting.pop_front()) {
-      Due& next = waiting.front();
+      control::DirectHalt& next = waiting.front();
+      // What an ended lead wanted gone the next one may want, also if this process leads again.
       if (next.term != term) continue;
-      const MachineId machine = next.halt.machine;
+      const MachineId machine = next.machine;
       auto sender = std::make_unique<Sender>();
       Sender* const raw = sender.get();
       try {
-        sender->thread = std::jthread([this, raw, halt = std::move(next.halt), term] {
-          send(halt, term);
+        sender->thread = std::jthread([this, raw, halt = std::move(next)] {
+          send(halt);
           raw->done = true;
         });
       } catch (const std::system_error& error) {
--- a/src/node/cloud.h
+++ b/src/node/cloud.h
@@ -44,7 +44,7 @@
   void run(const std::stop_token& stop);
 
  private:
-  void send(const control::DirectHalt& halt, Term term);
+  void send(const control::DirectHalt& halt);
   Context& context_;
 };
 
--- a/src/user_api/request.cpp
+++ b/src/user_api/request.cpp
@@ -88,18 +88,15 @@
 }
 
 Request Request::question(Known known, const std::string& job) {
-  Request request(Purpose::question, std::move(known));
-  if (!wire::is_job_id(job)) {
-    request.answer(error_reply(404, "no such job"));
-    return request;
-  }
-  request.job_ = JobId(job);
-  request.look(error_reply(404, "no such job"));
-  return request;
+  return of_job(Purpose::question, std::move(known), job);
 }
 
 Request Request::cancellation(Known known, const std::string& job) {
-  Request request(Purpose::cancellation, std::move(known));
+  return of_job(Purpose::cancellation, std::move(known), job);
+}
+
+Request Request::of_job(Purpose purpose, Known known, const std::string& job) {
+  Request request(purpose, std::move(known));
   if (!wire::is_job_id(job)) {
     request.answer(error_reply(404, "no such job"));
     return request;
--- a/src/user_api/request.h
+++ b/src/user_api/request.h
@@ -75,6 +75,7 @@
   enum class Reading { types, live, over };
   enum class Found { live, over, nowhere, unknown };
 
+  [[nodiscard]] static Request of_job(Purpose purpose, Known known, const std::string& job);
   Request(Purpose purpose, Known known) : purpose_(purpose), known_(std::move(known)) {}
   void answer(Reply reply) { step_ = std::move(reply); }
   void answer(int status, const wire::JobStatus& job);
--- a/tests/explorer/model.cpp
+++ b/tests/explorer/model.cpp
@@ -510,10 +510,10 @@
                .machine = machine,
                .sent = now_,
                .commands = halt.commands,
-               .term = self.engine.term(),
+               .term = halt.term,
                .session = halt.session});
     } else if (!found->deaf && !found->worker.hung && found->worker.alive && !cut(machine, node)) {
-      (void)found->worker.direct(self.engine.term(), halt.session, halt.commands, now_);
+      (void)found->worker.direct(halt.term, halt.session, halt.commands, now_);
       found->changed = true;
     }
   }
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -906,20 +906,19 @@
   for (const control::DirectHalt& halt : self.engine->due_halts(time_of(node))) {
     const auto machine = machines_.find(halt.machine);
     if (machine == machines_.end() || !machine->second.worker || machine->second.gone) continue;
-    const Term term = self.engine->term();
-    repeat(delay(), [this, halt, term, node] {
+    repeat(delay(), [this, halt, node] {
       Rented& target = machines_.at(halt.machine);
       if (target.gone || !target.worker->alive) return true;
       if (!reaches(node, target) || target.worker->hung) return !target.holds && !target.worker->hung;
       if (!is_heard(node, target)) return true;
       if (is_held(target)) return false;
-      (void)target.worker->direct(term, halt.session, halt.commands, time_of(target));
+      (void)target.worker->direct(halt.term, halt.session, halt.commands, time_of(target));
       target.changed = true;
-      copy_late([this, halt, term] {
+      copy_late([this, halt] {
         const Rented& again = machines_.at(halt.machine);
         if (now_ < again.deaf_until) return;
         if (!again.gone && again.worker->alive)
-          (void)again.worker->direct(term, halt.session, halt.commands, time_of(again));
+          (void)again.worker->direct(halt.term, halt.session, halt.commands, time_of(again));
       });
       return true;
     });
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -142,6 +142,31 @@
   EXPECT_FALSE(engine_.begin_write(now_));
 }
 
+// What an ended lead wanted stopped may be sent when the same process leads again, which may want it to run: it goes with the
+// token of the lead that wanted it, which the worker refuses by then.
+TEST_F(Leading, ADirectHaltNamesTheTermThatWantedIt) {
+  lead({placed_on(kSecond, job_of(1))});
+  (void)report(kSecond, 1, Term(7), {task(0, TaskState::running)});
+  engine_.on_job_removed(kJob, now_);
+  (void)engine_.due_halts(now_);  // the answer to the next report tells it first
+  now_ += Millis(2000);
+  const auto halts = engine_.due_halts(now_);
+  ASSERT_EQ(halts.size(), 1U);
+  EXPECT_EQ(halts[0].term, Term(7));
+  EXPECT_EQ(halts[0].machine, kSecond);
+  Takeover again;
+  again.term = Term(9);
+  again.term_mark = Revision(50);
+  again.linger = {placed_on(kSecond, job_of(1))};
+  engine_.lead(again, now_);
+  (void)report(kSecond, 2, Term(9), {task(0, TaskState::running)});
+  (void)engine_.due_halts(now_);
+  now_ += Millis(2000);
+  const auto later = engine_.due_halts(now_);
+  ASSERT_EQ(later.size(), 1U);
+  EXPECT_EQ(later[0].term, Term(9));
+}
+
 // Invariant 3: a worker that has seen a higher term proves that another leads.
 TEST_F(Leading, StepsDownOnAReportWithAHigherTerm) {
   lead();
