--- a/tests/explorer/explorer_test.cpp
+++ b/tests/explorer/explorer_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <ostream>
+
 #include "explorer/search.h"
 
 namespace foxshunt::explorer {
@@ -13,6 +15,8 @@
   std::size_t starts = 0;  // of tasks in the walks
 };
 
+void PrintTo(const Part& part, std::ostream* out) { *out << part.setup; }
+
 class Explorer : public testing::TestWithParam<Part> {
  protected:
   Explorer() { spdlog::set_level(spdlog::level::off); }
