--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -231,8 +231,9 @@
   void drain(Machine& machine, const std::string& why, Instant now);
   void forget_machine(const MachineId& id);
   [[nodiscard]] bool usable(const Machine& machine, Instant now) const;
-  // Up to when its tasks may run on, if nothing more is heard of it.
+  // Up to when a holder of a grant may renew its lease.
   [[nodiscard]] Instant granted_until(const Machine& machine) const;
+  // Up to when its tasks may run on, if nothing more is heard of it.
   [[nodiscard]] Instant lease_end(const Machine& machine) const;
   // The same, but sooner known.
   [[nodiscard]] bool lease_over(const Machine& machine, Instant now) const;
--- a/tests/long-days.sh
+++ b/tests/long-days.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Plays the tests that take too long for CI (those whose names begin with DISABLED_): long days of 1,260 machines in virtual
 # time, whose shares of served work it prints, many small days with quick crashes, with meetings of troubles and with refusals,
-# and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a time, after the
-# build that README.md tells; what came of it is written to tests/long-days.result.txt.
+# and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a
+# time, after the build that README.md tells; what came of it is written to tests/long-days.result.txt.
 # tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick and meeting ones
 set -euo pipefail
 cd "$(dirname "$0")/.."
