A gang that has waited for 90 s holds a backfill reservation

Cause of the red test: an overdue gang is planned first, but its planned start hangs on estimates. Small work that should end before that start was backfilled onto the gang's machines, ran for longer, and moved the start on with each pass; the zone that looked best changed from pass to pass as well. So large-keeps-freed-machines began after 253 s.

One gang at a time, the oldest among the largest of its class that its team's limit does not hold back, now holds a reservation: it is planned as if overdue, stays in one zone, prefers machines that are kept already, and what is free of its machines before its start is booked. A holder has 60 s and a pause of 10 s follows, so that nothing waits for 90 s beside a machine with room.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -145,6 +145,12 @@
 inline constexpr milliseconds kSizesWindow = 1h;      // sizes are remembered for one to two of it
 inline constexpr std::size_t kClassesMost = 256;      // classes whose sizes are remembered; a day has a few
 
+// ---- backfill reservation ----
+inline constexpr milliseconds kReservationAfter =
+    90s;  // of waiting; machines drain in the minutes that are left of four
+inline constexpr milliseconds kReservationMost = 60s;   // less than others may wait beside a machine with room: 90 s
+inline constexpr milliseconds kReservationPause = 10s;  // between two: freed machines go to whoever is first
+
 // ---- preemption ----
 inline constexpr milliseconds kPreemptWait = 10s;  // work that starts this soon displaces nothing
 inline constexpr milliseconds kPreemptRanLeast =
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -13,6 +13,7 @@
 #include "classes/ranking.h"
 #include "config/settings.h"
 #include "control/demand.h"
+#include "control/gang_reservation.h"
 #include "control/supply.h"
 #include "foresight/foresight.h"
 #include "patience/patience.h"
@@ -259,6 +260,10 @@
   // and later still once it has missed what its class is hoped to wait at most.
   [[nodiscard]] Millis lag(const Job& job, Instant now) const;
   [[nodiscard]] patience::Waiting waiting(const Job& job, Instant now) const;
+  // When the job counts as submitted, in the planning order.
+  [[nodiscard]] Instant counts_from(const Job& job, Instant now) const;
+  // Gangs that have waited long enough for a backfill reservation and that their team's limit does not hold back.
+  [[nodiscard]] std::vector<GangReservation::Candidate> reservation_candidates(Instant now) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
   // The same jobs in the order of their classes.
   void order_by_class(std::vector<Job*>& jobs, Instant now);
@@ -274,6 +279,10 @@
                              Instant now) const;
   // For tasks that start later; revoked by the next pass.
   void book_ahead(Job& job, const plan::Placing& placing);
+  // Plans the gang that holds the reservation: in the zone and on the machines that are kept for it.
+  [[nodiscard]] std::vector<plan::Placing> plan_reserved(plan::Request request) const;
+  // Books the span from which each of the gang's machines is free until its planned start.
+  void keep_machines_free(Job& job, const std::vector<plan::Placing>& placings, Instant now);
   bool place_due(Job& job, const std::vector<plan::Placing>& placings, Instant now);
   // Of a gang's tasks those that are to be placed now; the others' places are booked, see docs/design/gathering.md.
   std::vector<plan::Placing> due_of_gang(Job& job, const std::vector<plan::Placing>& placings, Instant now);
@@ -335,6 +344,7 @@
   plan::Planner planner_;
   Supply supply_;
   Demand demand_;
+  GangReservation reservation_;
   std::set<MachineId> reserve_;            // idle, but kept for what may come
   bool plan_wanted_ = false;               // something has happened since the latest pass began
   std::optional<std::deque<JobId>> pass_;  // what the pass under way has left to plan
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -51,6 +51,24 @@
       .submitted = job.submitted, .lag = lag(job, now), .largest = demand_.largest(job.spec.job_class, job.spec.tasks)};
 }
 
+Instant Engine::counts_from(const Job& job, Instant now) const {
+  if (reservation_.held_by(job.spec.id)) return job.submitted - constants::kLargestAhead;
+  return patience::counts_from(waiting(job, now), now);
+}
+
+std::vector<GangReservation::Candidate> Engine::reservation_candidates(Instant now) const {
+  std::vector<GangReservation::Candidate> candidates;
+  for (const auto& [id, job] : jobs_) {
+    const bool waits_whole = job.runs_count == 0 && job.pending() > 0 && !job.withdrawn && job.not_before <= now;
+    if (job.spec.kind != wire::JobKind::gang || !waits_whole) continue;
+    if (now - job.submitted < constants::kReservationAfter) continue;
+    if (!demand_.largest(job.spec.job_class, job.spec.tasks)) continue;
+    // At its team's limit no machine would help it.
+    if (quota_for(job, job.pending())) candidates.push_back({.job = id, .submitted = job.submitted});
+  }
+  return candidates;
+}
+
 std::vector<Job*> Engine::planning_order(Instant now) {
   // What fits a team's guarantee, its urgent work first, goes before what is borrowed; then by priority.
   struct Entry {
@@ -77,7 +95,7 @@
       const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
       job->borrowed = !within;
       if ((job->pending() > 0 || job->stranded > 0) && job->not_before <= now)
-        order.push_back({.job = job, .borrowed = !within, .since = patience::counts_from(waiting(*job, now), now)});
+        order.push_back({.job = job, .borrowed = !within, .since = counts_from(*job, now)});
     }
   }
   std::ranges::sort(order, [](const Entry& a, const Entry& b) {
@@ -113,6 +131,7 @@
   }
   learn_gpu_demand(now);
   find_stranded();
+  reservation_.choose(reservation_candidates(now), now);
   pass_.emplace();
   for (const Job* job : planning_order(now)) pass_->push_back(job->spec.id);
 }
@@ -277,7 +296,11 @@
   request.places = places_for(job, now);
   std::size_t places = request.places.size();
   const bool warms = pools_.warms(job.spec, now - job.submitted).has_value();
-  const auto plan = [&] { return warms ? one_to_a_machine(planner_, request) : planner_.plan(request); };
+  const bool reserves = !joins && reservation_.held_by(job.spec.id);
+  const auto plan = [&] {
+    if (reserves) return plan_reserved(request);
+    return warms ? one_to_a_machine(planner_, request) : planner_.plan(request);
+  };
   std::vector<plan::Placing> placings = plan();
   if (placings.empty() && !job.failed_on.empty()) {
     // It is kept off the machines that it failed on only as long as there are others.
@@ -304,6 +327,7 @@
     if (!job.planned_start || placing.start < *job.planned_start) job.planned_start = placing.start;
     book_ahead(job, placing);
   }
+  if (reserves) keep_machines_free(job, placings, now);
   if (!warms && !joins) job.overdue_tasks = overdue(job, placings, request.places, now);
   // Under a cap only what was planned may displace anything.
   const std::uint32_t left = ranking_.on() ? request.count - (before - job.pending()) : job.pending();
@@ -323,6 +347,38 @@
                                       .stop = placing.stop}));
 }
 
+std::vector<plan::Placing> Engine::plan_reserved(plan::Request request) const {
+  for (plan::Place& place : request.places) place.preferred = reservation_.keeps(place.node->info.id);
+  std::vector<plan::Placing> placings = planner_.plan(request);
+  if (!request.one_zone || placings.empty() || reservation_.zone().empty()) return placings;
+  // What was kept so far would go to others if it moved to the zone that looks best by the estimates of the moment. It moves
+  // only where it can start at once.
+  if (placings.front().start <= request.from) return placings;
+  request.zone_bound = reservation_.zone();
+  std::vector<plan::Placing> there = planner_.plan(request);
+  return there.empty() ? placings : there;
+}
+
+void Engine::keep_machines_free(Job& job, const std::vector<plan::Placing>& placings, Instant now) {
+  std::set<MachineId> kept;
+  for (const plan::Placing& placing : placings) {
+    const plan::PlanNode* node = planner_.node(placing.machine);
+    const Amounts amounts = job.each.times(placing.count);
+    const plan::Spans free =
+        node->use.free_spans(amounts, constants::kTick, std::max(now, node->info.ready), placing.start);
+    if (free.empty() || free.back().stop != placing.start) continue;
+    // Its team does not use it yet: others of the team may still reach the team's limit.
+    job.booked.push_back(planner_.book({.machine = placing.machine,
+                                        .team = {},
+                                        .amounts = amounts,
+                                        .start = free.back().start,
+                                        .stop = free.back().stop}));
+    if (free.back().start <= now) kept.insert(placing.machine);
+  }
+  const bool one_zone = job.spec.one_zone && !placings.empty();
+  reservation_.plan(one_zone ? machines_.at(placings.front().machine).zone : std::string(), std::move(kept));
+}
+
 bool Engine::room_for(const Job& job, const Machine& machine, std::uint32_t count) const {
   const wire::MachineType* kind = type(machine.type);
   if (kind == nullptr) return false;
--- /dev/null
+++ b/src/control/gang_reservation.cpp
@@ -0,0 +1,36 @@
+#include "control/gang_reservation.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "config/constants.h"
+
+namespace foxshunt::control {
+
+void GangReservation::choose(std::span<const Candidate> candidates, plan::Instant now) {
+  if (holder_) {
+    const bool waits = std::ranges::find(candidates, *holder_, &Candidate::job) != candidates.end();
+    if (waits && now < until_) return;
+    end(now);
+  }
+  if (candidates.empty() || now < not_before_) return;
+  const auto first = std::ranges::min_element(
+      candidates, {}, [](const Candidate& candidate) { return std::tie(candidate.submitted, candidate.job); });
+  holder_ = first->job;
+  until_ = now + constants::kReservationMost;
+}
+
+void GangReservation::plan(std::string zone, std::set<MachineId> machines) {
+  zone_ = std::move(zone);
+  machines_ = std::move(machines);
+}
+
+void GangReservation::end(plan::Instant now) {
+  holder_.reset();
+  zone_.clear();
+  machines_.clear();
+  not_before_ = now + constants::kReservationPause;
+}
+
+}  // namespace foxshunt::control
--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -278,6 +278,7 @@
 struct Planner::Candidate {
   const PlanNode* node = nullptr;
   Millis before{};  // fetching
+  bool preferred = false;
   double weight = 0;
   Spans spans;  // where one task fits for `before` + duration
 };
@@ -292,7 +293,11 @@
     const Instant from = std::max(request.from, node.info.ready);
     Spans spans = node.use.free_spans(request.each, place.before + request.duration, from, node.info.until);
     if (spans.empty()) continue;
-    candidates.push_back({.node = &node, .before = place.before, .weight = weight(node), .spans = std::move(spans)});
+    candidates.push_back({.node = &node,
+                          .before = place.before,
+                          .preferred = place.preferred,
+                          .weight = weight(node),
+                          .spans = std::move(spans)});
   }
   if (candidates.empty()) return {};
   return request.together ? plan_together(request, candidates) : plan_apart(request, std::move(candidates));
@@ -409,7 +414,8 @@
   std::vector<const Candidate*> ranked;
   for (const Candidate& candidate : candidates) ranked.push_back(&candidate);
   // Equals stay in the order of their names.
-  std::ranges::stable_sort(ranked, {}, [](const Candidate* one) { return std::pair(one->weight, one->before); });
+  std::ranges::stable_sort(ranked, {},
+                           [](const Candidate* one) { return std::tuple(!one->preferred, one->weight, one->before); });
   for (const Candidate* candidate : ranked) {
     const std::size_t zone = candidate->node->zone;
     if (request.one_zone && !request.zone_bound.empty() && candidate->node->info.zone != request.zone_bound) continue;
--- a/src/plan/planner.h
+++ b/src/plan/planner.h
@@ -100,6 +100,7 @@
 struct Place {
   const PlanNode* node = nullptr;
   Millis before{};
+  bool preferred = false;  // for gangs: taken before all machines that are not, whatever they weigh
 };
 
 struct Request {
