A conflict on the term ends only the lead whose write it was

Found by going through the writes of catalog, pools and calendar: their conflict on the term's record ended whatever lead this process had when the answer came. A node that lost the lead and took it again while such a write was under way gave the new lead up for the old one's conflict. The engine's own writes were bound to their lead already; both go through one function now.

--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -94,6 +94,8 @@
   // ---- leadership ----
   void lead(const Takeover& takeover, Instant now);
   void resign(const std::string& why);
+  // A write failed by its condition on this revision of the term's record: ends the lead that the write was of, and no other.
+  void on_term_conflict(Revision term_mark);
   [[nodiscard]] bool leading() const { return leading_; }
   // Whether it left the lead to others so recently that they go first.
   [[nodiscard]] bool gives_way(Instant now) const { return now < gives_way_until_; }
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -108,6 +108,11 @@
   spdlog::info("no longer leading in term {}: {}", term_.number(), why);
 }
 
+void Engine::on_term_conflict(Revision term_mark) {
+  if (kept(Guard::write_earlier_lead) && term_mark != term_mark_) return;
+  resign("another leader has a higher term");
+}
+
 void Engine::hear_of(Term term) {
   if (kept(Guard::higher_term) && leading_ && term > term_)
     resign("a sibling knows of term " + std::to_string(term.number()));
@@ -230,7 +235,7 @@
   if (result.answer != state::Answer::ok) ++counters_.writes_failed;
   if (result.answer == state::Answer::conflict &&
       std::ranges::find(result.failed, state::kTermKey) != result.failed.end()) {
-    resign("another leader has a higher term");
+    on_term_conflict(batch.term_mark);
     return;
   }
   for (const Job& job : jobs_.end_write(batch, result, now)) {
--- a/src/node/shared.cpp
+++ b/src/node/shared.cpp
@@ -284,7 +284,7 @@
   if (result.answer == Answer::conflict &&
       std::ranges::find(result.failed, std::string(state::kTermKey)) != result.failed.end()) {
     const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
-    context_.engine.resign("another leader has a higher term");
+    context_.engine.on_term_conflict(term_mark);
   }
   const std::lock_guard lock(shared.mutex);
   keeper->on_written(*txn, result);
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -142,6 +142,23 @@
   EXPECT_FALSE(engine_.begin_write(now_));
 }
 
+// The records of catalog, pools and calendar are written beside the engine, conditioned on the same term: an answer that comes
+// when the same process leads again is of the lead that has ended.
+TEST_F(Leading, ATermConflictEndsOnlyTheLeadThatWrote) {
+  Takeover first;
+  first.term = Term(7);
+  first.term_mark = Revision(40);
+  engine_.lead(first, now_);
+  Takeover again;
+  again.term = Term(9);
+  again.term_mark = Revision(50);
+  engine_.lead(again, now_);
+  engine_.on_term_conflict(Revision(40));
+  EXPECT_TRUE(engine_.leading());
+  engine_.on_term_conflict(Revision(50));
+  EXPECT_FALSE(engine_.leading());
+}
+
 // What an ended lead wanted stopped may be sent when the same process leads again, which may want it to run: it goes with the
 // token of the lead that wanted it, which the worker refuses by then.
 TEST_F(Leading, ADirectHaltNamesTheTermThatWantedIt) {
