The emulated world: late commands, slow state service, slow links, records read in pages

- A new leader reads the records in pages of three, with other writes between them, and looks at its lease afterwards, as the real one does.
It read all at one moment before.

--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -409,6 +409,12 @@
         world().late_reports(std::stod(words.at(1)), std::stod(words.at(2)),
                              words.size() > 3 && words[3] == "for_next");
       });
+    } else if (verb == "late_commands") {
+      does([this, words] { world().late_commands(std::stod(words.at(1)), std::stod(words.at(2))); });
+    } else if (verb == "slow_state") {
+      does([this, words] { world().slow_state(std::stod(words.at(1))); });
+    } else if (verb == "slow_links") {
+      does([this, words] { world().slow_links(std::stod(words.at(1))); });
     } else if (verb == "cancel_now") {
       does([this, words] {
         world().cancel_now(std::stoul(words.at(1)), words.size() > 3 && words[2] == "hang" ? std::stod(words[3]) : 0);
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -108,6 +108,13 @@
   // Of that share of reports a copy comes to every controller again, after 2 s to over two leases; or is kept until a
   // new leader begins, and comes to all at that moment.
   void late_reports(double share, double for_s, bool for_next);
+  // That share of direct commands is held up on its way, unanswered, and carried out once, 2 to 16 s late, if token and
+  // session still match.
+  void late_commands(double share, double for_s);
+  // Calls of the state service and their answers take up to 2.4 s; callers give up after two.
+  void slow_state(double for_s);
+  // What controllers and workers send each other takes 0.1 to 2.5 s on its way.
+  void slow_links(double for_s);
   // Its reports arrive; answers and direct commands to it are lost.
   void make_deaf(const MachineId& machine, double for_s);
   // It opens no connection to a controller; direct commands reach it.
@@ -237,6 +244,7 @@
     bool asking = false;
     std::optional<Instant> state_heard;
     bool calling_lead = false;
+    bool taking_lead = false;  // from the transaction that takes the lead until the records are read
     bool calling_follow = false;
     bool calling_write = false;
     bool calling_cloud = false;
@@ -290,6 +298,18 @@
     Instant until;
     bool for_next = false;
   };
+  struct LateCommands {
+    double share = 0;
+    Instant until;
+  };
+  // What a new leader has read so far.
+  struct RecordsRead {
+    control::Takeover takeover;
+    std::int64_t others_until_wall_ms = 0;
+    Instant began;    // when the lead was asked for
+    Instant renewed;  // when the last answered renewal of the lease was
+    Revision from;    // of the first page
+  };
   // What becomes of a transaction.
   enum class Fate : std::uint8_t { answered, unanswered, late };
 
@@ -320,6 +340,10 @@
   [[nodiscard]] bool lucky(double share);  // from the troubles' own luck
   [[nodiscard]] double between(double low, double high);
   [[nodiscard]] Fate fate();
+  // How long a direct command is held up; nothing if it is not.
+  [[nodiscard]] std::optional<Millis> late_command();
+  [[nodiscard]] Millis slow_state();  // of a call and its answer, beyond the usual
+  [[nodiscard]] Millis slow_link();   // of a message, beyond the usual
   // After newer ones, and not during an outage.
   void carry_out_late(std::function<void(StateStore&)> what);
   // A copy of a report that was sent long ago.
@@ -347,6 +371,10 @@
   void duties(std::size_t node, std::uint64_t life);
   void lead_duty(std::size_t node);
   void take_lead(std::size_t node, const state::LeadView& view);
+  // Reads the page of records with this prefix, by its number, that begins after the key `from`, and goes on to the next.
+  void read_records(std::size_t node, const std::shared_ptr<RecordsRead>& read, std::size_t prefix,
+                    const std::string& from);
+  void lead(std::size_t node, const RecordsRead& read);
   void follow_duty(std::size_t node);
   void ledger_duty(std::size_t node);
   void calendar_duty(std::size_t node);
@@ -432,6 +460,10 @@
   double drift_ = 0;
   LateWrites late_writes_;
   LateReports late_reports_;
+  LateCommands late_commands_;
+  Instant write_lost_until_;  // a call that luck left without an answer is given up by then
+  Instant slow_state_until_;
+  Instant slow_links_until_;
   CancelsAtEnd cancels_at_end_;
   Instant quick_boots_until_;
   Instant odd_requests_until_;
