--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -313,6 +313,9 @@
   // What becomes of a transaction.
   enum class Fate : std::uint8_t { answered, unanswered, late };
 
+  static constexpr Millis kStep{50};      // of duties and workers
+  static constexpr Millis kWordDelay{4};  // of siblings' words; fixed, so that they change no other day's luck
+
   static double control_seconds(Instant when);
   // What a steady clock shows that goes so much faster.
   [[nodiscard]] static Instant by_clock(double drift, Instant when);
