--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -142,6 +142,29 @@
   EXPECT_FALSE(engine_.begin_write(now_));
 }
 
+// All tasks of a gang start or none: while the placement of some of them is not durable, those that are wait.
+TEST_F(Leading, StartsAGangOnceAllItsPartsAreDurable) {
+  config::Settings one_change = settings();
+  one_change.state_txn_ops = 1;
+  const std::vector<wire::MachineType> types = engine_.types();
+  engine_ = Engine(one_change);
+  engine_.on_types(types);
+  lead();
+  (void)report(kFirst, 1, Term(7));
+  wire::JobSpec gang = job_of(constants::kTasksPerPart + 2);
+  gang.kind = wire::JobKind::gang;
+  gang.cpus = 0.1;
+  submit(gang);
+  engine_.plan_pass(now_);
+  ASSERT_EQ(placed(), gang.tasks);
+  ASSERT_TRUE(write());
+  EXPECT_FALSE(has(report(kFirst, 2, Term(7)), CommandKind::run)) << "its second part is not written yet";
+  ASSERT_TRUE(write());
+  const auto answer = report(kFirst, 3, Term(7));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(std::ranges::count(*answer, CommandKind::run, &wire::Command::kind), gang.tasks);
+}
+
 // The records of catalog, pools and calendar are written beside the engine, conditioned on the same term: an answer that comes
 // when the same process leads again is of the lead that has ended.
 TEST_F(Leading, ATermConflictEndsOnlyTheLeadThatWrote) {
--- a/tests/unit/meetings_test.cpp
+++ b/tests/unit/meetings_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "control/engine.h"
+#include "config/constants.h"
 #include "standins/state_store.h"
 
 namespace foxshunt::control {
@@ -280,6 +281,34 @@
   EXPECT_FALSE(is_live()) << "it would run again, and its user would hear that it waits";
 }
 
+// A write on a part of a large job gets no answer and is carried out after a newer one on the same part, while the job's own
+// record has not changed: the outcomes that the newer one tells would be lost.
+TEST_F(MeetingsAtTheStore, AWriteOnAPartThatLagsTakesNothingBack) {
+  wire::JobSpec spec = job_of(constants::kTasksPerPart + 2);
+  spec.cpus = 0.1;
+  ASSERT_EQ(submit(spec).answer, state::Answer::ok);
+  take_lead(engine_, NodeName("node-0"));
+  (void)report_to(engine_);
+  engine_.plan_pass(now_);
+  carry_out(engine_);
+  ASSERT_TRUE(starts(report_to(engine_)));
+  const wire::TaskReport first = task(0, TaskState::ended, EndReason::done);
+  wire::TaskReport second = task(1, TaskState::ended, EndReason::done);
+  second.attempt = AttemptNo(2);
+  (void)report_to(engine_, {first});
+  const WriteBatch late = written(engine_);
+  lose_answer(engine_, late);
+  (void)report_to(engine_, {first, second});
+  carry_out(engine_);
+  const auto done = [&] {
+    const state::GetResult found = store_.get(state::part_key(kJob, 0));
+    return state::part_from(found.entry.data, constants::kTasksPerPart).done;
+  };
+  ASSERT_TRUE(done()[0] && done()[1]);
+  EXPECT_EQ(store_.txn(late.txn).answer, state::Answer::conflict);
+  EXPECT_TRUE(done()[1]);
+}
+
 // Only the answer is lost, and others read what was written: the next write meets it, reads it again, and goes on from there.
 TEST_F(MeetingsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -94,6 +94,17 @@
   EXPECT_TRUE(machines_.silent(second, now_ + kDetour + Millis(1)));
 }
 
+// Where reports are rarer than leases are long, a machine whose lease has ended is no suspect yet.
+TEST_F(Machines, OneWhoseLeaseHasEndedTakesNoWork) {
+  hear(report(kFirst, 1, 1, kTerm));
+  Machine& machine = machines_.at(kFirst);
+  ASSERT_TRUE(machines_.usable(machine, now_));
+  machine.expired = true;
+  EXPECT_FALSE(machines_.usable(machine, now_));
+  hear(report(kFirst, 2, 2, kTerm));
+  EXPECT_TRUE(machines_.usable(machine, now_)) << "its next session has reported";
+}
+
 // Invariant 1: nothing is taken for gone while anybody may have renewed the worker's lease.
 TEST_F(Machines, ALeaseEndsAfterTheLastThatMayHaveRenewedIt) {
   const Instant others = now_ + Millis(20'000);
