--- a/tests/long-days.sh
+++ b/tests/long-days.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Plays the tests that take too long for CI (those whose names begin with DISABLED_): long days of 1,260 machines in virtual
-# time, whose shares of served work it prints, many small days with quick crashes, with meetings of troubles and with refusals,
+# time, whose shares of served work it prints, many small days with quick crashes, with concurrent faults and with refusals,
 # and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a
 # time, after the build that README.md tells; what came of it is written to tests/long-days.result.txt.
-# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick and meeting ones
+# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick and concurrent-fault ones
 set -euo pipefail
 cd "$(dirname "$0")/.."
 program=target/tests/scenario_tests
@@ -12,7 +12,7 @@
 declare -A days=(
   [LargeDays.DISABLED_Long]="${1:-1} ${2:-10} ${3:-900}"
   [ManyQuickDays.DISABLED_KeepTheRules]="${4:-101} ${5:-1000}"
-  [ManyMeetingDays.DISABLED_KeepTheRules]="${4:-201} ${5:-2000}"
+  [ManyConcurrentFaultDays.DISABLED_KeepTheRules]="${4:-201} ${5:-2000}"
   [ManyRefusalDays.DISABLED_KeepTheRules]=""  # seeds 1001 to 4000
   [RefusedAloneAtAllMoments.DISABLED_CancelledTasksAreGoneInTime]=""
 )
--- a/tests/scenarios/days_test.cpp
+++ b/tests/scenarios/days_test.cpp
@@ -97,14 +97,14 @@
 }
 
 // Two to four troubles that strike within seconds of each other, once to three times a day.
-void add_meetings(World& world, std::size_t nodes, const std::function<int(int, int)>& pick) {
+void add_concurrent_faults(World& world, std::size_t nodes, const std::function<int(int, int)>& pick) {
   const auto leader_or = [&world](std::size_t node, bool leader) {
     return leader ? world.leader().value_or(node) : node;
   };
-  for (int meetings = pick(1, 3); meetings > 0; --meetings) {
-    const double met_s = pick(10, 150);
+  for (int groups = pick(1, 3); groups > 0; --groups) {
+    const double group_s = pick(10, 150);
     for (int left = pick(2, 4); left > 0; --left) {
-      const double when_s = met_s + pick(0, 60) / 10.0;
+      const double when_s = group_s + pick(0, 60) / 10.0;
       const double for_s = pick(0, 3) == 0 ? pick(20, 75) : pick(2, 20);
       const double share = pick(1, 9) / 10.0;
       const bool leading = pick(0, 2) > 0;
@@ -178,7 +178,7 @@
   }
 }
 
-enum class Kind { plain, zones, quick, meetings };
+enum class Kind { plain, zones, quick, concurrent_faults };
 
 // Two classes, and four deadlines for their jobs.
 catalog::Set day_catalog() {
@@ -239,10 +239,10 @@
   std::mt19937 random(seed * 7919U + static_cast<unsigned>(kind));
   const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
   const std::size_t nodes = zone_troubles && seed % 4 == 0 ? 5 : 3;
-  const bool meetings = kind == Kind::meetings;
-  const bool tight = meetings && seed % 5 < 2;  // teams are at their limits for most of the day
+  const bool concurrent = kind == Kind::concurrent_faults;
+  const bool tight = concurrent && seed % 5 < 2;  // teams are at their limits for most of the day
   config::Settings settings = day_settings(seed % 2 == 0, zone_troubles);
-  if (meetings) {
+  if (concurrent) {
     settings.operators.zone_grants = settings.operators.zone_watch = seed % 4 < 2;
     settings.operators.standby = seed % 3 == 0;
   }
@@ -298,10 +298,10 @@
     if (names.empty()) return std::nullopt;
     return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random)];
   };
-  if (kind == Kind::quick || (meetings && seed % 7 == 0)) add_quick_crashes(world, nodes, pick);
-  if (meetings) {
+  if (kind == Kind::quick || (concurrent && seed % 7 == 0)) add_quick_crashes(world, nodes, pick);
+  if (concurrent) {
     if (seed % 2 == 1) world.let_clocks_drift(0.0005);
-    add_meetings(world, nodes, pick);
+    add_concurrent_faults(world, nodes, pick);
   }
   if (with_catalog) watch_catalog(world, nodes, pick);
   if (zone_troubles) {
@@ -317,7 +317,7 @@
       }
     }
   }
-  const int troubles = meetings ? pick(0, 2) : pick(2, 8);
+  const int troubles = concurrent ? pick(0, 2) : pick(2, 8);
   for (int i = 0; i < troubles; ++i) {
     const double when_s = pick(5, 170);
     const auto node = static_cast<std::size_t>(pick(0, static_cast<int>(nodes) - 1));
@@ -373,7 +373,7 @@
   }
   world.run_until(600);
   for (const std::string& broken : world.broken()) ADD_FAILURE() << broken;
-  if (meetings) {
+  if (concurrent) {
     for (const auto& [trouble, times] : world.struck()) spdlog::info("trouble={} times={}", trouble, times);
   }
   expect_served(world);
@@ -401,8 +401,8 @@
 class CatalogDays : public testing::TestWithParam<unsigned> {};
 TEST_P(CatalogDays, SayTheSameEverywhere) { play(GetParam(), static_cast<Kind>(GetParam() % 3), true); }
 
-class MeetingDays : public testing::TestWithParam<unsigned> {};
-TEST_P(MeetingDays, KeepTheRules) { play(GetParam(), Kind::meetings); }
+class ConcurrentFaultDays : public testing::TestWithParam<unsigned> {};
+TEST_P(ConcurrentFaultDays, KeepTheRules) { play(GetParam(), Kind::concurrent_faults); }
 
 // For tests/long-days.sh: DAYS="FIRST LAST", or as many as are played by default.
 void play_many(Kind kind, const char* by_default) {
@@ -417,15 +417,15 @@
   }
 }
 
-TEST(ManyMeetingDays, DISABLED_KeepTheRules) { play_many(Kind::meetings, "201 2000"); }
+TEST(ManyConcurrentFaultDays, DISABLED_KeepTheRules) { play_many(Kind::concurrent_faults, "201 2000"); }
 TEST(ManyQuickDays, DISABLED_KeepTheRules) { play_many(Kind::quick, "101 1000"); }
 
 #ifdef FOXSHUNT_SMALL_DAYS
-constexpr unsigned kMeetingDays = 40;
+constexpr unsigned kConcurrentFaultDays = 40;
 #else
-constexpr unsigned kMeetingDays = 200;
+constexpr unsigned kConcurrentFaultDays = 200;
 #endif
-INSTANTIATE_TEST_SUITE_P(Seeds, MeetingDays, testing::Range(1U, kMeetingDays + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, ConcurrentFaultDays, testing::Range(1U, kConcurrentFaultDays + 1));
 INSTANTIATE_TEST_SUITE_P(Seeds, QuickDays, testing::Range(1U, 101U));
 INSTANTIATE_TEST_SUITE_P(Seeds, ZoneDays, testing::Range(1U, 201U));
 INSTANTIATE_TEST_SUITE_P(Seeds, CatalogDays, testing::Range(1U, 101U));
--- a/tests/scenarios/refusal_days_test.cpp
+++ b/tests/scenarios/refusal_days_test.cpp
@@ -40,8 +40,8 @@
 enum class Returns : std::uint8_t { before_outage, in_outage, after_outage };
 enum class Restart : std::uint8_t { none, quick_in_refusal, slow_in_refusal, quick_in_outage, slow_in_outage };
 
-// One meeting. Moments are counted in half reports.
-struct Meeting {
+// One case of a refusal followed by an outage. Moments are counted in half reports.
+struct RefusalCase {
   bool long_spans = false;
   int cancel = 1;                        // after the refusal began
   int outage = 0;                        // after the cancellations; 0: a tenth of a second
@@ -71,11 +71,11 @@
   }
 };
 
-// Draws a number below its bound; the product of all bounds counts the meetings.
+// Draws a number below its bound; the product of all bounds counts the cases.
 using Draw = std::function<int(int)>;
 
 // What is swept against each other comes first.
-Meeting meeting(const Draw& swept, const Draw& drawn) {
+RefusalCase refusal(const Draw& swept, const Draw& drawn) {
   static constexpr std::array kCancels{1, 2, 3, 4, 5, 6, 8, 12};
   static constexpr std::array kOutages{0, 1, 2, 4};
   static constexpr std::array kLongers{2, 9};
@@ -90,7 +90,7 @@
   const auto one_of = [](const Draw& draw, const auto& all) {
     return all[static_cast<std::size_t>(draw(static_cast<int>(all.size())))];
   };
-  Meeting made;
+  RefusalCase made;
   made.long_spans = swept(2) == 1;
   made.cancel = one_of(swept, kCancels);
   made.outage = one_of(swept, kOutages);
@@ -107,14 +107,14 @@
   return made;
 }
 
-config::Settings settings_of(const Meeting& meeting) {
+config::Settings settings_of(const RefusalCase& refusal) {
   config::Settings settings;
   settings.zones = {"a", "b", "c"};
   settings.nodes = 3;
   settings.teams = {{.name = "red", .cpus = 32, .cpus_max = 64, .gpus = 0, .gpus_max = 0}};
-  settings.report_s = meeting.long_spans ? 3 : 1;
-  settings.lease_s = meeting.long_spans ? 27 : 10;
-  settings.cancel_s = meeting.long_spans ? 57 : 40;
+  settings.report_s = refusal.long_spans ? 3 : 1;
+  settings.lease_s = refusal.long_spans ? 27 : 10;
+  settings.cancel_s = refusal.long_spans ? 57 : 40;
   settings.gang_wait_s = 45;
   settings.gang_peer_s = 4;
   settings.state_rps = 250;
@@ -124,8 +124,8 @@
   settings.cloud_rps = 2;
   settings.cloud_list_lag_s = 5;
   settings.skew_ms = 50;
-  settings.operators.zone_grants = settings.operators.zone_watch = meeting.grants;
-  settings.operators.standby = meeting.standby;
+  settings.operators.zone_grants = settings.operators.zone_watch = refusal.grants;
+  settings.operators.standby = refusal.standby;
   return settings;
 }
 
@@ -175,28 +175,28 @@
   double least_margin_s = 1e9;  // between the end of the last task and the deadline
 };
 
-// Of one meeting, in seconds of the day.
+// Of one case, in seconds of the day.
 struct Moments {
   double refused = 0;
   double cancelled = 0;
   double out = 0;
   double back = 0;
-  explicit Moments(const Meeting& meeting, const config::Settings& settings) {
+  explicit Moments(const RefusalCase& refusal, const config::Settings& settings) {
     const double half = settings.report_s / 2;
-    refused = kRefused + meeting.phase * 0.5;  // half of the time between two renewals of the leader's lease
-    cancelled = refused + meeting.cancel * half;
-    out = cancelled + std::max(0.1, meeting.outage * half);
-    back = out + settings.cancel_s + meeting.longer * half;
+    refused = kRefused + refusal.phase * 0.5;  // half of the time between two renewals of the leader's lease
+    cancelled = refused + refusal.cancel * half;
+    out = cancelled + std::max(0.1, refusal.outage * half);
+    back = out + settings.cancel_s + refusal.longer * half;
   }
 };
 
-Outcome play(const Meeting& meeting, unsigned seed) {
+Outcome play(const RefusalCase& refusal, unsigned seed) {
   log_if_asked();
-  SCOPED_TRACE(meeting.text() + ", seed " + std::to_string(seed));
-  const config::Settings settings = settings_of(meeting);
-  const Moments when(meeting, settings);
+  SCOPED_TRACE(refusal.text() + ", seed " + std::to_string(seed));
+  const config::Settings settings = settings_of(refusal);
+  const Moments when(refusal, settings);
   World world(settings, supplies(), 3, seed);
-  world.drift_workers(1 + meeting.drift * kDrift);
+  world.drift_workers(1 + refusal.drift * kDrift);
   for (const char* zone : {"a", "b", "c"}) world.start_up("plain", zone, 3);
   submit(world, 1, kService, wire::JobKind::service, 3, 1e6);
   submit(world, 1.2, kArray, wire::JobKind::array, 3, 300);
@@ -208,35 +208,35 @@
   std::size_t old = 0;
   world.at(when.refused, [&] {
     old = world.leader().value_or(0);
-    const double ends = meeting.returns == Returns::before_outage ? when.out - settings.report_s / 2
-                        : meeting.returns == Returns::in_outage   ? when.out + settings.report_s
+    const double ends = refusal.returns == Returns::before_outage ? when.out - settings.report_s / 2
+                        : refusal.returns == Returns::in_outage   ? when.out + settings.report_s
                                                                   : when.back + 3 * settings.report_s;
     if (ends > when.refused) world.refuse_state(old, ends - when.refused);
     const double all_s = when.back - when.refused;
-    if (meeting.path == Path::alone || meeting.path == Path::holder) world.cut_siblings(all_s);
-    if (meeting.path == Path::relay || meeting.path == Path::holder) world.cut_node_from_workers(old, all_s);
+    if (refusal.path == Path::alone || refusal.path == Path::holder) world.cut_siblings(all_s);
+    if (refusal.path == Path::relay || refusal.path == Path::holder) world.cut_node_from_workers(old, all_s);
   });
   const double fence_s = control::to_seconds(control::fence_span(settings));
-  if (meeting.path == Path::heir) {
+  if (refusal.path == Path::heir) {
     world.at(when.refused + fence_s / 2, [&] {
       world.cut_siblings(when.back - when.refused);
       world.cut_node_from_workers(old, when.back - when.refused);
     });
   }
   world.at(when.out, [&] { world.state_outage(when.back - when.out); });
-  if (meeting.restart != Restart::none) {
-    const bool in_refusal = meeting.restart == Restart::quick_in_refusal || meeting.restart == Restart::slow_in_refusal;
-    const bool quick = meeting.restart == Restart::quick_in_refusal || meeting.restart == Restart::quick_in_outage;
+  if (refusal.restart != Restart::none) {
+    const bool in_refusal = refusal.restart == Restart::quick_in_refusal || refusal.restart == Restart::slow_in_refusal;
+    const bool quick = refusal.restart == Restart::quick_in_refusal || refusal.restart == Restart::quick_in_outage;
     const double at = in_refusal ? (when.refused + when.cancelled) / 2 : when.out + settings.cancel_s / 4;
     world.at(at, [&world, &old, quick] { world.crash(old, quick ? 0.1 : 6); });
   }
-  if (meeting.frozen) {
+  if (refusal.frozen) {
     // Over the last moment at which the old leader may answer, so that reports wait to be answered when it wakes.
     world.at(when.refused + fence_s - 5, [&] {
       for (std::size_t duty = 0; duty < kDutyNames.size(); ++duty) world.delay_duty(old, static_cast<Duty>(duty), 7);
     });
   }
-  if (meeting.hung) {
+  if (refusal.hung) {
     world.at(when.cancelled - 0.3, [&] {
       for (const MachineId& id : world.where({kService, 0})) world.hang(id, settings.lease_s * 0.8);
     });
@@ -246,7 +246,7 @@
   world.at(when.cancelled, [&] {
     for (const JobId& job : {kService, kArray}) {
       for (std::uint32_t index = 0; index < 3; ++index) outcome.tasks += world.where({job, index}).size();
-      world.cancel(job, (old + meeting.other) % 3);
+      world.cancel(job, (old + refusal.other) % 3);
     }
   });
   std::optional<std::uint64_t> reports;
@@ -293,12 +293,12 @@
 // What was played by all, so that no path is swept in vain.
 class Tally {
  public:
-  void add(const Meeting& meeting, const Outcome& outcome) {
+  void add(const RefusalCase& refusal, const Outcome& outcome) {
     ++played_;
-    EXPECT_GT(outcome.tasks, 0U) << meeting.text();
+    EXPECT_GT(outcome.tasks, 0U) << refusal.text();
     whole_ += outcome.tasks == 6 ? 1 : 0;
     confirmed_ += outcome.confirmed ? 1 : 0;
-    if (outcome.confirmed && outcome.answered > 0) ++answered_[meeting.path];
+    if (outcome.confirmed && outcome.answered > 0) ++answered_[refusal.path];
     least_margin_s_ = std::min(least_margin_s_, outcome.least_margin_s);
   }
   void expect_met(std::size_t least) const {
@@ -311,7 +311,7 @@
     if (testing::Test::HasFailure()) ADD_FAILURE() << text();
   }
   [[nodiscard]] std::string text() const {
-    std::string found = std::to_string(played_) + " meetings, " + std::to_string(confirmed_) +
+    std::string found = std::to_string(played_) + " cases, " + std::to_string(confirmed_) +
                         " confirmed before the outage; reports were answered after it in";
     for (const auto& [path, count] : answered_) {
       found += " " + std::to_string(count) + " of path " + std::to_string(static_cast<int>(path));
@@ -323,7 +323,7 @@
   std::size_t played_ = 0;
   std::size_t confirmed_ = 0;
   std::size_t whole_ = 0;                 // in which all tasks of both jobs ran when they were cancelled
-  std::map<Path, std::size_t> answered_;  // meetings in which reports were, after the confirmation
+  std::map<Path, std::size_t> answered_;  // cases in which reports were, after the confirmation
   double least_margin_s_ = 1e9;
 };
 
@@ -337,7 +337,7 @@
   SCOPED_TRACE("seed " + std::to_string(seed));
   std::mt19937 random(seed * 7919U);
   const auto pick = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
-  Meeting spans;
+  RefusalCase spans;
   spans.long_spans = pick(0, 1) == 1;
   spans.grants = pick(0, 1) == 1;
   spans.standby = pick(0, 1) == 1;
@@ -433,7 +433,7 @@
   std::mt19937 random(GetParam());
   Tally tally;
   for (std::size_t sample = 0; sample < kSamples; ++sample) {
-    const Meeting made = meeting(by_luck(random), by_luck(random));
+    const RefusalCase made = refusal(by_luck(random), by_luck(random));
     tally.add(made, play(made, static_cast<unsigned>(random())));
   }
   tally.expect_met(kSamples / 40);
@@ -453,7 +453,7 @@
       product *= below;
       return digit;
     };
-    const Meeting made = meeting(next, by_luck(random));
+    const RefusalCase made = refusal(next, by_luck(random));
     count = product;
     tally.add(made, play(made, static_cast<unsigned>(random())));
     if (testing::Test::HasFailure()) break;
--- a/tests/smoke/refused_test.cpp
+++ b/tests/smoke/refused_test.cpp
@@ -4,7 +4,7 @@
 // All moments are of one clock, the stand-in's: when the user had the answer, when a report was sent whose answer renewed a
 // lease, and up to when a task was on its machine. A lease counts from when the report was sent, which was before any
 // controller looked at its clock, and a worker's lease is kept by the stand-in itself: a busy machine delays both sides or
-// ends tasks sooner, and can't make one stay longer. A meeting that a busy machine kept from coming about is tried again.
+// ends tasks sooner, and can't make one stay longer. Faults that a busy machine kept from coinciding are tried again.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -33,7 +33,7 @@
 constexpr Millis kTurn{10};
 constexpr std::size_t kNodes = 3;
 constexpr std::size_t kLeader = 0;  // it is started first
-constexpr int kTries = 3;           // of a meeting that does not come about
+constexpr int kTries = 3;           // of faults that do not coincide
 const JobId kFirst("j-000001");     // cancelled at once
 const JobId kSecond("j-000002");    // cancelled a moment later
 const JobId kShort("j-000003");     // ends when it is told to
@@ -229,18 +229,18 @@
     EXPECT_EQ(cluster_->cloud().ran_twice(), 0);
   }
 
-  // Brings the meeting about, again if a busy machine kept it from coming about; then judges it.
-  void meet(const std::string& operators, const std::function<bool()>& meeting) {
+  // Brings the faults about, again if a busy machine kept them from coinciding; then judges what came of it.
+  void expect_rules_hold(const std::string& operators, const std::function<bool()>& faults_coincide) {
     for (int tried = 1; tried <= kTries; ++tried) {
       told_.clear();
       ASSERT_NO_FATAL_FAILURE(begin(operators));
-      const bool met = meeting();
+      const bool met = faults_coincide();
       expect_gone_in_time();
       if (met) return expect_whole_again();
       if (HasFailure()) return;
-      std::cout << "the meeting did not come about\n";
+      std::cout << "the faults did not coincide\n";
     }
-    FAIL() << "the meeting did not come about in " << kTries << " tries";
+    FAIL() << "the faults did not coincide in " << kTries << " tries";
   }
 
   std::atomic<bool> renewed_{false};  // what the stand-in's hooks tell; they live as long as the cluster
@@ -255,7 +255,7 @@
 };
 
 TEST_F(SmokeRefusal, TasksCancelledMeanwhileEndThoughTheLeaderGoesOnAnswering) {
-  meet("", [this] {
+  expect_rules_hold("", [this] {
     refuse_cancel_and_lose();
     return wait_for([this] { return renewed_after_told(by_leader) >= 4; }, fence_);
   });
@@ -263,7 +263,7 @@
 
 // The leader's process ends and is back while nobody can take its place: others answer by what it had granted.
 TEST_F(SmokeRefusal, TheLeaderRestartsMeanwhile) {
-  meet(kGrants, [this] {
+  expect_rules_hold(kGrants, [this] {
     if (!granted()) return false;
     refuse_cancel_and_lose();
     cluster_->kill(kLeader);
@@ -274,7 +274,7 @@
 
 // Its workers and a holder are cut off from the leader, which goes on beside them.
 TEST_F(SmokeRefusal, AHolderAnswersInACut) {
-  meet(kGrants, [this] {
+  expect_rules_hold(kGrants, [this] {
     if (!granted()) return false;
     cluster_->state().refuse(kLeader, true);
     cluster_->cut_from_nodes(kLeader, true);
@@ -286,7 +286,7 @@
 
 // Its workers reach the leader through other nodes alone.
 TEST_F(SmokeRefusal, OthersPassReportsOn) {
-  meet("", [this] {
+  expect_rules_hold("", [this] {
     cluster_->cloud().cut(kLeader, true);
     refuse_cancel_and_lose();
     return wait_for([this] { return renewed_after_told(by_others) >= 4; }, fence_);
@@ -295,7 +295,7 @@
 
 // The leader stands still over the end of its fence, with reports that it has taken and not answered.
 TEST_F(SmokeRefusal, TheLeaderFreezesOverItsFence) {
-  meet("", [this] {
+  expect_rules_hold("", [this] {
     learn_all_now();
     refuse_cancel_and_lose();
     const Instant over = served_ + fence_;
@@ -313,7 +313,7 @@
 
 // The leader stands still with the last answers of the state service in its sockets: they tell of when it asked.
 TEST_F(SmokeRefusal, TheLeaderFreezesBeforeItReadsTheLastAnswers) {
-  meet("", [this] {
+  expect_rules_hold("", [this] {
     cluster_->state().set_between([this](const net::HttpRequest& request, const net::HttpServer::Handler& stand_in) {
       net::HttpResponse answer = stand_in(request);
       if (request.path.ends_with("/touch") && armed_.exchange(false)) {  // the leader alone has a lease
--- a/tests/unit/meetings_test.cpp
+++ b/tests/unit/concurrent_faults_test.cpp
@@ -1,4 +1,4 @@
-// Two troubles at once, where no day of the emulated world meets them at the very moment: docs/design/meetings.md.
+// Two troubles at once, where no day of the emulated world meets them at the very moment: docs/design/concurrent-faults.md.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -44,9 +44,9 @@
   return spec;
 }
 
-class Meetings : public testing::Test {
+class ConcurrentFaults : public testing::Test {
  protected:
-  Meetings() : engine_(settings()) {
+  ConcurrentFaults() : engine_(settings()) {
     engine_.on_types({{.name = "plain", .cpus = 16, .ram_gb = 64, .price = 1, .boot_s = 10, .zones = {"a", "b"}}});
   }
 
@@ -104,7 +104,7 @@
 
 // The machine lost its session while its gang gathered, and got the lost task again, with the same attempt number, in its
 // next one. What it had told before, that its start was refused, was held up until a leader with no memory has begun.
-TEST_F(Meetings, AReportOfTheSessionBeforeTellsANewLeaderNothingOfTheSameAttempt) {
+TEST_F(ConcurrentFaults, AReportOfTheSessionBeforeTellsANewLeaderNothingOfTheSameAttempt) {
   const wire::JobSpec spec = job_of(2, wire::JobKind::gang);
   lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kFirst, 2}, {kSecond, 1}})});
   ASSERT_TRUE(report(kFirst, 1, 40, Term(6), {task(0, TaskState::ended, EndReason::no_room)}));
@@ -117,7 +117,7 @@
 
 // A new leader reads live/ and then linger/. A job that is called off between the two is found in both; it is one job, whose
 // tasks count once for the limit, are proved gone, and are forgotten.
-TEST_F(Meetings, AJobCalledOffWhileTheRecordsAreReadIsOneJob) {
+TEST_F(ConcurrentFaults, AJobCalledOffWhileTheRecordsAreReadIsOneJob) {
   const wire::JobSpec spec = job_of(2);
   lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})},
        {placed(state::linger_key(kJob), spec, {{kFirst, 1}, {kSecond, 1}})});
@@ -141,7 +141,7 @@
 
 // The watch was too far behind, and the whole list was asked for; its answer was held up until the node leads once more. A
 // job that was accepted meanwhile is not in it, and one that is over is.
-TEST_F(Meetings, AListThatAnEarlierLeadReadTellsTheNextOneNothing) {
+TEST_F(ConcurrentFaults, AListThatAnEarlierLeadReadTellsTheNextOneNothing) {
   lead(Term(7), Revision(1));
   wire::JobSpec over = job_of(1);
   over.id = JobId("j-000009");
@@ -158,7 +158,7 @@
 
 // Tasks that are to be spread over zones lose their leader and a machine that nobody has heard of since: until it is known
 // where that one stands, the next task may be one too many in its zone.
-TEST_F(Meetings, NoTaskIsSpreadBesideOneWhoseZoneIsUnknown) {
+TEST_F(ConcurrentFaults, NoTaskIsSpreadBesideOneWhoseZoneIsUnknown) {
   wire::JobSpec spec = job_of(2);
   spec.spread = true;
   lead(Term(7), Revision(1), {placed(state::live_key(kJob), spec, {{kSecond, 1}})});
@@ -171,9 +171,9 @@
 }
 
 // Leaders, users and a state service that carries a transaction out when the test says so.
-class MeetingsAtTheStore : public Meetings {
+class ConcurrentFaultsAtTheStore : public ConcurrentFaults {
  protected:
-  MeetingsAtTheStore() : next_(settings()) { next_.on_types(engine_.types()); }
+  ConcurrentFaultsAtTheStore() : next_(settings()) { next_.on_types(engine_.types()); }
 
   void take_lead(Engine& engine, const NodeName& node) {
     const state::LeadView view = state::lead_view(store_.get(state::kHolderKey), store_.get(state::kTermKey));
@@ -247,7 +247,7 @@
 
 // New machines get work at once while writes lag, and the leader ends: its placement is carried out when its successor has
 // taken the lead and read the records, which know of none.
-TEST_F(MeetingsAtTheStore, APlacementThatLagsIsRefusedOnceTheNextLeads) {
+TEST_F(ConcurrentFaultsAtTheStore, APlacementThatLagsIsRefusedOnceTheNextLeads) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   take_lead(engine_, NodeName("node-0"));
   (void)report_to(engine_);
@@ -265,7 +265,7 @@
 }
 
 // A transaction without an answer is carried out after newer ones of the same controller: the job has run and is over.
-TEST_F(MeetingsAtTheStore, APlacementThatLagsBringsNothingBackThatIsOver) {
+TEST_F(ConcurrentFaultsAtTheStore, APlacementThatLagsBringsNothingBackThatIsOver) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   take_lead(engine_, NodeName("node-0"));
   (void)report_to(engine_);
@@ -283,7 +283,7 @@
 
 // A write on a part of a large job gets no answer and is carried out after a newer one on the same part, while the job's own
 // record has not changed: the outcomes that the newer one tells would be lost.
-TEST_F(MeetingsAtTheStore, AWriteOnAPartThatLagsTakesNothingBack) {
+TEST_F(ConcurrentFaultsAtTheStore, AWriteOnAPartThatLagsTakesNothingBack) {
   wire::JobSpec spec = job_of(constants::kTasksPerPart + 2);
   spec.cpus = 0.1;
   ASSERT_EQ(submit(spec).answer, state::Answer::ok);
@@ -310,7 +310,7 @@
 }
 
 // Only the answer is lost, and others read what was written: the next write meets it, reads it again, and goes on from there.
-TEST_F(MeetingsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
+TEST_F(ConcurrentFaultsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   take_lead(engine_, NodeName("node-0"));
   (void)report_to(engine_);
@@ -329,7 +329,7 @@
 
 // A user's cancellation is carried out late, when the job that it read as waiting runs: it would leave no word of the task.
 // The repeated one does, and the next leader knows of it.
-TEST_F(MeetingsAtTheStore, ACancellationThatLagsMissesNoPlacement) {
+TEST_F(ConcurrentFaultsAtTheStore, ACancellationThatLagsMissesNoPlacement) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   take_lead(engine_, NodeName("node-0"));
   const state::GetResult waiting = store_.get(state::live_key(kJob));
@@ -353,7 +353,7 @@
 }
 
 // A cancellation is confirmed while a placement is on its way: the placement fails, and is never started.
-TEST_F(MeetingsAtTheStore, APlacementMeetsAConfirmedCancellation) {
+TEST_F(ConcurrentFaultsAtTheStore, APlacementMeetsAConfirmedCancellation) {
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   take_lead(engine_, NodeName("node-0"));
   seen_ = store_.revision();
@@ -374,7 +374,7 @@
 
 // A cancellation that has read the job as running is carried out just after its last task's end was written, or just before:
 // one of the two fails, and the user hears the other for good.
-TEST_F(MeetingsAtTheStore, ACancellationMeetsTheEndOfTheLastTask) {
+TEST_F(ConcurrentFaultsAtTheStore, ACancellationMeetsTheEndOfTheLastTask) {
   for (const bool end_first : {true, false}) {
     SCOPED_TRACE(end_first);
     store_ = {};
@@ -400,7 +400,7 @@
 }
 
 // A submission without an answer is carried out when the repeated one has been accepted and its job is over.
-TEST_F(MeetingsAtTheStore, ASubmissionThatLagsIsRefusedOnceItsJobIsOver) {
+TEST_F(ConcurrentFaultsAtTheStore, ASubmissionThatLagsIsRefusedOnceItsJobIsOver) {
   const state::Txn late = state::accept_txn(state::new_job(job_of(1), 0));
   ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
   const state::GetResult waiting = store_.get(state::live_key(kJob));
