Aging: the standard term for how long a waiting job may be bypassed

src/patience is src/aging: JobSizes, WaitingJob, bypass_limit, effective_submission; Engine::rental_delay for how long machines are not rented for a job.

--- a/src/patience/patience.cpp
+++ b/src/aging/aging.cpp
@@ -1,45 +1,45 @@
-#include "patience/patience.h"
+#include "aging/aging.h"
 
 #include <algorithm>
 
 #include "config/constants.h"
 
-namespace foxshunt::patience {
+namespace foxshunt::aging {
 
-void Sizes::learn(const std::string& job_class, std::uint32_t tasks, plan::Instant submitted) {
+void JobSizes::learn(const std::string& job_class, std::uint32_t tasks, plan::Instant submitted) {
   const auto known = peaks_.find(job_class);
   if (known == peaks_.end() && peaks_.size() >= constants::kClassesMost) return;
   Peak& peak =
       known == peaks_.end() ? peaks_.emplace(job_class, Peak{.since = submitted}).first->second : known->second;
   const plan::Millis passed = submitted - peak.since;
-  if (passed >= constants::kSizesWindow) {
-    peak.earlier = passed < 2 * constants::kSizesWindow ? peak.current : 0;
+  if (passed >= constants::kJobSizesWindow) {
+    peak.earlier = passed < 2 * constants::kJobSizesWindow ? peak.current : 0;
     peak.current = 0;
     peak.since = submitted;
   }
   peak.current = std::max(peak.current, tasks);
 }
 
-std::uint32_t Sizes::most(const std::string& job_class) const {
+std::uint32_t JobSizes::most(const std::string& job_class) const {
   const auto known = peaks_.find(job_class);
   return known == peaks_.end() ? 0 : std::max(known->second.current, known->second.earlier);
 }
 
-bool Sizes::largest(const std::string& job_class, std::uint32_t tasks) const {
+bool JobSizes::largest(const std::string& job_class, std::uint32_t tasks) const {
   if (tasks < 2 || !peaks_.contains(job_class)) return false;
   return tasks >= most(job_class) * constants::kLargestShare;
 }
 
-plan::Millis passed_most(const Waiting& job) {
-  return job.largest ? constants::kPassedLargest : constants::kPassedMost;
+plan::Millis bypass_limit(const WaitingJob& job) {
+  return job.largest ? constants::kBypassLargest : constants::kBypassMost;
 }
 
-bool overdue(const Waiting& job, plan::Instant now) { return now - job.submitted >= passed_most(job); }
+bool overdue(const WaitingJob& job, plan::Instant now) { return now - job.submitted >= bypass_limit(job); }
 
-plan::Instant counts_from(const Waiting& job, plan::Instant now) {
+plan::Instant effective_submission(const WaitingJob& job, plan::Instant now) {
   // In a backlog of four minutes all are overdue, and in the order of submission the largest would begin too late.
-  if (overdue(job, now)) return job.largest ? job.submitted - constants::kLargestAhead : job.submitted;
-  return job.submitted + std::min(job.lag, constants::kLagMost);
+  if (overdue(job, now)) return job.largest ? job.submitted - constants::kLargestHeadStart : job.submitted;
+  return job.submitted + std::min(job.lag, constants::kBypassLagMost);
 }
 
-}  // namespace foxshunt::patience
+}  // namespace foxshunt::aging
--- a/src/patience/patience.h
+++ b/src/aging/aging.h
@@ -1,5 +1,5 @@
-// How long a job may be passed, so that a stream of small work keeps no large job out: when a job counts as submitted.
-// Pure: no clock, no I/O.
+// Aging with bounded bypass: how long younger work may be planned before a waiting job, so that a stream of small jobs starves
+// no large one. Tells when a job counts as submitted, for the planning order. Pure: no clock, no I/O; no thread safety.
 #pragma once
 
 #include <cstdint>
@@ -8,11 +8,11 @@
 
 #include "plan/usage_vector.h"
 
-namespace foxshunt::patience {
+namespace foxshunt::aging {
 
-// Which jobs are among the largest of their class, from the sizes seen in the last one to two `kSizesWindow`. Bounded:
+// Which jobs are among the largest of their class, from the sizes seen in the last one to two `kJobSizesWindow`. Bounded:
 // beyond `kClassesMost` classes none is told apart any more.
-class Sizes {
+class JobSizes {
  public:
   void learn(const std::string& job_class, std::uint32_t tasks, plan::Instant submitted);
   [[nodiscard]] std::uint32_t most(const std::string& job_class) const;
@@ -28,17 +28,17 @@
   std::map<std::string, Peak> peaks_;
 };
 
-struct Waiting {
+struct WaitingJob {
   plan::Instant submitted;
   plan::Millis lag{};    // by which it would count as submitted later
   bool largest = false;  // of its class
 };
 
-// How long it may be passed by younger work.
-[[nodiscard]] plan::Millis passed_most(const Waiting& job);
-[[nodiscard]] bool overdue(const Waiting& job, plan::Instant now);
+// How long younger work may be planned before it.
+[[nodiscard]] plan::Millis bypass_limit(const WaitingJob& job);
+[[nodiscard]] bool overdue(const WaitingJob& job, plan::Instant now);
 // When the job counts as submitted. The lag of one that is overdue no longer counts: nothing younger passes it any more,
 // but for the largest of a class, which go somewhat before other overdue jobs.
-[[nodiscard]] plan::Instant counts_from(const Waiting& job, plan::Instant now);
+[[nodiscard]] plan::Instant effective_submission(const WaitingJob& job, plan::Instant now);
 
-}  // namespace foxshunt::patience
+}  // namespace foxshunt::aging
--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -136,14 +136,14 @@
 inline constexpr milliseconds kHaltCallLimit = 3s;    // a silent worker delays only its own halts
 inline constexpr std::size_t kHaltsAtOnce = 32;       // a thread each; others await their turn
 
-// ---- patience ----
-inline constexpr milliseconds kPassedLargest = 150s;  // leaves a minute and a half of four to drain machines for it
-inline constexpr milliseconds kPassedMost = 210s;     // any other job is passed for longer, but not for ever
-inline constexpr milliseconds kLargestAhead = 90s;    // so much before other overdue work, which has no four minutes
-inline constexpr milliseconds kLagMost = 400s;        // of a job that is not overdue: by so much it counts as later
-inline constexpr double kLargestShare = 0.75;         // of the most tasks that a job of the class had
-inline constexpr milliseconds kSizesWindow = 1h;      // sizes are remembered for one to two of it
-inline constexpr std::size_t kClassesMost = 256;      // classes whose sizes are remembered; a day has a few
+// ---- aging ----
+inline constexpr milliseconds kBypassLargest = 150s;    // leaves a minute and a half of four to drain machines for it
+inline constexpr milliseconds kBypassMost = 210s;       // any other job is passed for longer, but not for ever
+inline constexpr milliseconds kLargestHeadStart = 90s;  // so much before other overdue work, which has no four minutes
+inline constexpr milliseconds kBypassLagMost = 400s;    // of a job that is not overdue: by so much it counts as later
+inline constexpr double kLargestShare = 0.75;           // of the most tasks that a job of the class had
+inline constexpr milliseconds kJobSizesWindow = 1h;     // sizes are remembered for one to two of it
+inline constexpr std::size_t kClassesMost = 256;        // classes whose sizes are remembered; a day has a few
 
 // ---- backfill reservation ----
 inline constexpr milliseconds kReservationAfter =
--- a/src/control/demand.h
+++ b/src/control/demand.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "patience/patience.h"
+#include "aging/aging.h"
 #include "plan/planner.h"
 #include "wire/messages.h"
 
@@ -54,7 +54,7 @@
 
  private:
   std::map<std::string, ClassDemand> classes_;
-  patience::Sizes sizes_;
+  aging::JobSizes sizes_;
   std::deque<std::pair<plan::Instant, plan::Items>>
       gpu_demand_;              // wanted at once, falling: its front is the latest peak
   plan::Items gpus_spare_ = 0;  // that machines have beyond it
--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -16,7 +16,7 @@
 #include "control/gang_reservation.h"
 #include "control/supply.h"
 #include "foresight/foresight.h"
-#include "patience/patience.h"
+#include "aging/aging.h"
 #include "plan/planner.h"
 #include "pools/desk.h"
 #include "preempt/preempt.h"
@@ -261,9 +261,9 @@
   // How much later than it was submitted a job counts as submitted: the more it takes, the later,
   // and later still once it has missed what its class is hoped to wait at most.
   [[nodiscard]] Millis lag(const Job& job, Instant now) const;
-  [[nodiscard]] patience::Waiting waiting(const Job& job, Instant now) const;
+  [[nodiscard]] aging::WaitingJob waiting_job(const Job& job, Instant now) const;
   // When the job counts as submitted, in the planning order.
-  [[nodiscard]] Instant counts_from(const Job& job, Instant now) const;
+  [[nodiscard]] Instant effective_submission(const Job& job, Instant now) const;
   // Gangs that have waited long enough for a backfill reservation and that their team's limit does not hold back.
   [[nodiscard]] std::vector<GangReservation::Candidate> reservation_candidates(Instant now) const;
   [[nodiscard]] std::vector<Job*> planning_order(Instant now);
@@ -299,7 +299,7 @@
   [[nodiscard]] bool quota_for(const Job& job, std::uint32_t count) const;
   [[nodiscard]] bool place_allowed(const Job& job, const Machine& machine, std::uint32_t count) const;
   void place(Job& job, std::uint32_t index, AttemptNo attempt, Machine& machine, Instant now);
-  [[nodiscard]] Millis patience(const Job& job, Instant now) const;
+  [[nodiscard]] Millis rental_delay(const Job& job, Instant now) const;
   // standby
   void hint_machine(const std::string& name, const standby::Machine& told, Instant now);
   void hint_task(const standby::Key& key, const standby::Task& told, Instant now);
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -46,14 +46,14 @@
   return work + missed;
 }
 
-patience::Waiting Engine::waiting(const Job& job, Instant now) const {
+aging::WaitingJob Engine::waiting_job(const Job& job, Instant now) const {
   return {
       .submitted = job.submitted, .lag = lag(job, now), .largest = demand_.largest(job.spec.job_class, job.spec.tasks)};
 }
 
-Instant Engine::counts_from(const Job& job, Instant now) const {
-  if (reservation_.held_by(job.spec.id)) return job.submitted - constants::kLargestAhead;
-  return patience::counts_from(waiting(job, now), now);
+Instant Engine::effective_submission(const Job& job, Instant now) const {
+  if (reservation_.held_by(job.spec.id)) return job.submitted - constants::kLargestHeadStart;
+  return aging::effective_submission(waiting_job(job, now), now);
 }
 
 std::vector<GangReservation::Candidate> Engine::reservation_candidates(Instant now) const {
@@ -95,7 +95,7 @@
       const bool within = team != nullptr && cpus <= team->cpus && (team->gpus <= 0 || gpus <= team->gpus);
       job->borrowed = !within;
       if ((job->pending() > 0 || job->stranded > 0) && job->not_before <= now)
-        order.push_back({.job = job, .borrowed = !within, .since = counts_from(*job, now)});
+        order.push_back({.job = job, .borrowed = !within, .since = effective_submission(*job, now)});
     }
   }
   std::ranges::sort(order, [](const Entry& a, const Entry& b) {
@@ -311,10 +311,10 @@
   }
   std::uint32_t planned = 0;
   // Renting helps only a task that a machine rented now would start earlier; those that boot are waited for.
-  const Instant patient_until = now + std::max(patience(job, now), boot_awaited(job.spec));
+  const Instant rent_after = now + std::max(rental_delay(job, now), boot_awaited(job.spec));
   for (const plan::Placing& placing : placings) {
     planned += placing.count;
-    if (placing.start > patient_until + constants::kTick) job.late_tasks += placing.count;
+    if (placing.start > rent_after + constants::kTick) job.late_tasks += placing.count;
   }
   if (planned < request.count) job.late_tasks += request.count - planned;
   // The pool's machines are rented by the pool.
--- a/src/control/engine_size.cpp
+++ b/src/control/engine_size.cpp
@@ -105,7 +105,7 @@
   return least;
 }
 
-Millis Engine::patience(const Job& job, Instant now) const {
+Millis Engine::rental_delay(const Job& job, Instant now) const {
   // How long its tasks may wait from now on before machines are rented for them.
   if (job.spec.deadline_s) {
     Instant by = job.submitted + from_seconds(*job.spec.deadline_s);
@@ -197,7 +197,7 @@
     while (late > 0 && !quota_for(*job, late)) --late;
     if (late == 0) continue;
     // As long as a deadline leaves time for another boot, what is dear can wait for what is cheap to become free.
-    const bool patient = patience(*job, now) > boot_awaited(job->spec) * constants::kBootSlack;
+    const bool patient = rental_delay(*job, now) > boot_awaited(job->spec) * constants::kBootSlack;
     std::optional<Offer> offer;
     if (job->overdue_tasks > 0) {
       // A kind that boots later than the work has to begin is no use, however cheap.
