--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -172,7 +172,7 @@
 inline constexpr milliseconds kBehind = 2s;       // a pass or a queue this late is worth a warning
 inline constexpr milliseconds kWarnEvery = 60s;   // of the same kind; the counters tell how often
 
-// ---- presence ----
+// ---- health ----
 inline constexpr milliseconds kStateSilence = 6s;     // without any answer, whether siblings fare better counts
 inline constexpr milliseconds kServedElsewhere = 3s;  // an outage's end is noticed by every node within a call's limit
 inline constexpr milliseconds kWordKept = 5s;         // asked every second; a lost answer or two prove nothing
--- a/src/presence/presence.h
+++ b/src/health/health.h
@@ -1,6 +1,6 @@
-// Whether a node takes users' requests: GET /up. A node that alone has lost the state service is taken out of the
-// balance, as others do better. An outage that all nodes share is no reason to: with every node out users find none for
-// up to a minute after it, as the balancer's pauses grow with each removal.
+// The node's health check: what GET /up answers. A node that alone has lost the state service is unhealthy, as its siblings
+// serve users better. An outage that all nodes share takes none of them out: with every node unhealthy users would find no
+// node for up to a minute after it, as the balancer's pauses grow with each removal. Pure: the time is passed in.
 #pragma once
 
 #include <map>
@@ -10,16 +10,16 @@
 #include "wire/ids.h"
 #include "wire/value.h"
 
-namespace foxshunt::presence {
+namespace foxshunt::health {
 
 using plan::Instant;
 using plan::Millis;
 
 // A node's contact with the state service as of when it is told. Spans, as nodes have no common clock.
-struct Word {
+struct StateContact {
   Millis silent{};  // since the state service last answered
   Millis steady{};  // for which it answered without a break before that; counts on until the next one
-  friend bool operator==(const Word&, const Word&) = default;
+  friend bool operator==(const StateContact&, const StateContact&) = default;
 };
 
 enum class Verdict {
@@ -32,36 +32,37 @@
 [[nodiscard]] constexpr bool healthy(Verdict verdict) { return verdict < Verdict::alone; }
 [[nodiscard]] const char* name_of(Verdict verdict);
 
-// Not to be shared between threads without a lock.
-class Presence {
+// Not thread-safe: whoever shares it between threads guards it by a mutex.
+class HealthCheck {
  public:
   // `siblings`: how many other nodes there are to hear from.
-  Presence(Instant began, std::size_t siblings) : began_(began), siblings_(siblings) {}
+  HealthCheck(Instant began, std::size_t siblings) : began_(began), siblings_(siblings) {}
 
+  // The state service has answered.
   void on_state(Instant at);
   // What a sibling answered to a question sent at `asked`; nothing: its program does not tell.
-  void on_word(const NodeName& sibling, const std::optional<Word>& word, Instant asked);
+  void on_contact(const NodeName& sibling, const std::optional<StateContact>& contact, Instant asked);
 
-  [[nodiscard]] Verdict judge(Instant at) const;
-  [[nodiscard]] Word word(Instant at) const;
+  [[nodiscard]] Verdict assess(Instant at) const;
+  [[nodiscard]] StateContact contact(Instant at) const;
   [[nodiscard]] Millis silent_for(Instant at) const;  // since the start, if it was never heard
 
  private:
   struct Heard {
-    Word word;
+    StateContact contact;
     Instant asked;
   };
 
   Instant began_;
   std::size_t siblings_;
-  std::optional<Instant> heard_;     // when the state service last answered
-  Instant steady_since_{};           // since then without a break; with heard_
-  std::map<NodeName, Heard> words_;  // the last of each sibling
+  std::optional<Instant> heard_;        // when the state service last answered
+  Instant steady_since_{};              // since then without a break; with heard_
+  std::map<NodeName, Heard> contacts_;  // the last of each sibling
 };
 
 // What is told of it beside other things: `state_silent_ms` and `state_steady_ms`. Throws Malformed; nothing when the
 // value has no such fields.
-void tell(wire::Value::Map& map, const Word& word);
-[[nodiscard]] std::optional<Word> word_from(const wire::Value& value);
+void write_contact(wire::Value::Map& map, const StateContact& contact);
+[[nodiscard]] std::optional<StateContact> contact_from(const wire::Value& value);
 
-}  // namespace foxshunt::presence
+}  // namespace foxshunt::health
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -47,7 +47,7 @@
       engine(from),
       shared(from),
       standby(from),
-      presence(now(), from.siblings.size()) {}
+      health(now(), from.siblings.size()) {}
 
 bool Context::wait_to_lead(const std::stop_token& stop) {
   std::unique_lock lock(engine_mutex.of(Duty::planning));
@@ -55,13 +55,13 @@
 }
 
 void Context::heard_state() {
-  const std::lock_guard lock(presence_mutex);
-  presence.on_state(now());
+  const std::lock_guard lock(health_mutex);
+  health.on_state(now());
 }
 
 plan::Millis Context::state_silent_for() {
-  const std::lock_guard lock(presence_mutex);
-  return presence.silent_for(now());
+  const std::lock_guard lock(health_mutex);
+  return health.silent_for(now());
 }
 
 bool Context::learn_lead(const NodeName& of, Term in) {
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -12,7 +12,7 @@
 #include "node/duty_mutex.h"
 #include "node/shared.h"
 #include "node/standby.h"
-#include "presence/presence.h"
+#include "health/health.h"
 #include "state/budget.h"
 
 namespace foxshunt::node {
@@ -72,8 +72,8 @@
   Term term;
   std::vector<wire::MachineType> types;  // for judging submissions
 
-  std::mutex presence_mutex;
-  presence::Presence presence;
+  std::mutex health_mutex;
+  health::HealthCheck health;
 
   // The leader's duties of a node that does not lead wait here, so that it costs nothing. False when a stop is asked for.
   bool wait_to_lead(const std::stop_token& stop);
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -80,9 +80,9 @@
       {"connections_refused", server.refused_connections()},
   };
   {
-    const std::lock_guard lock(context.presence_mutex);
-    body.emplace_back("state_silent_ms", count_ms(context.presence.silent_for(now())));
-    body.emplace_back("presence", presence::name_of(context.presence.judge(now())));
+    const std::lock_guard lock(context.health_mutex);
+    body.emplace_back("state_silent_ms", count_ms(context.health.silent_for(now())));
+    body.emplace_back("health", health::name_of(context.health.assess(now())));
   }
   for (const auto& [kind, name] :
        {std::pair{Tallies::Kind::report, "reports"}, std::pair{Tallies::Kind::user, "users_requests"}}) {
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -61,19 +61,19 @@
 HttpResponse Front::abort(const std::string& id) { return serve(user_api::Request::cancellation(known(), id)); }
 
 HttpResponse Front::up() {
-  presence::Verdict verdict{};
+  health::Verdict verdict{};
   plan::Millis silent{};
   {
-    const std::lock_guard lock(context_.presence_mutex);
-    verdict = context_.presence.judge(now());
-    silent = context_.presence.silent_for(now());
+    const std::lock_guard lock(context_.health_mutex);
+    verdict = context_.health.assess(now());
+    silent = context_.health.silent_for(now());
   }
   if (const auto before = verdict_.exchange(verdict); before != verdict) {
-    const bool out = !presence::healthy(verdict);
-    spdlog::log(out ? spdlog::level::warn : spdlog::level::info, "up={} presence={} was={} state_silent_ms={}",
-                out ? "no" : "yes", presence::name_of(verdict), presence::name_of(before), silent.count());
+    const bool out = !health::healthy(verdict);
+    spdlog::log(out ? spdlog::level::warn : spdlog::level::info, "up={} health={} was={} state_silent_ms={}",
+                out ? "no" : "yes", health::name_of(verdict), health::name_of(before), silent.count());
   }
-  if (!presence::healthy(verdict)) return come_back("this node can't reach the state service");
+  if (!health::healthy(verdict)) return come_back("this node can't reach the state service");
   return {.status = 200, .body = {}, .retry_after_s = {}};
 }
 
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -30,7 +30,7 @@
 
   Context& context_;
   Clients clients_;
-  std::atomic<presence::Verdict> verdict_{presence::Verdict::served};  // as last told to the balancer, for the log
+  std::atomic<health::Verdict> verdict_{health::Verdict::served};  // as last told to the balancer, for the log
   user_api::FinalStates finals_;
 };
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -15,8 +15,8 @@
     const std::lock_guard lock(context.view_mutex);
     word = state::to_value(state::TermRecord{.term = context.term, .leader = context.leader});
   }
-  const std::lock_guard lock(context.presence_mutex);
-  presence::tell(*word.as_map(), context.presence.word(now()));
+  const std::lock_guard lock(context.health_mutex);
+  health::write_contact(*word.as_map(), context.health.contact(now()));
   return {.status = 200, .body = wire::encode(word), .retry_after_s = {}};
 }
 
@@ -34,18 +34,18 @@
                                           net::Clock::now() + constants::kPeerCallLimit);
   if (!answer || answer->status != 200) return;
   state::TermRecord word;
-  std::optional<presence::Word> contact;
+  std::optional<health::StateContact> contact;
   try {
     const wire::Value body = wire::decode(answer->body);
     word = state::term_from(body);
-    contact = presence::word_from(body);
+    contact = health::contact_from(body);
   } catch (const wire::Malformed& error) {
     spdlog::warn("sibling at {}: malformed word: {}", sibling.client.to().text(), error.what());
     return;
   }
   {
-    const std::lock_guard lock(context_.presence_mutex);
-    context_.presence.on_word(sibling.name, contact, asked);
+    const std::lock_guard lock(context_.health_mutex);
+    context_.health.on_contact(sibling.name, contact, asked);
   }
   if (word.leader.empty() || !context_.learn_lead(word.leader, word.term)) return;
   const std::lock_guard lock(context_.engine_mutex.of(Duty::lease));
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -14,7 +14,7 @@
 
 // Asks the siblings when the state service is silent. A higher term ends this node's lead at once, so that workers
 // turn to the successor instead of waiting for this node's fence. Whether siblings are served decides whether this node
-// is out alone (presence); nothing else follows from what a sibling says.
+// is out alone (health check); nothing else follows from what a sibling says.
 class PeerDuty {
  public:
   explicit PeerDuty(Context& context);
--- a/tests/smoke/smoke_test.cpp
+++ b/tests/smoke/smoke_test.cpp
@@ -189,7 +189,7 @@
   for (; cluster.up(0) && tries < 600; ++tries) std::this_thread::sleep_for(std::chrono::milliseconds(50));
   EXPECT_LT(tries, 600);
   const Ran ran = run("counters " + to(cluster, 0));
-  EXPECT_NE(ran.out.find("presence alone"), std::string::npos) << ran.out;
+  EXPECT_NE(ran.out.find("health alone"), std::string::npos) << ran.out;
   EXPECT_TRUE(cluster.up(1));
   cluster.state().set_side_out(false);
   EXPECT_TRUE(cluster.wait_until_up(0));
@@ -329,12 +329,12 @@
   const long up_ms = static_cast<long>(std::stod(ran.out.substr(ran.out.find("up_s ") + 5)) * 1000) + 1;
   EXPECT_LE(silent_ms, up_ms);
   EXPECT_NE(ran.out.find("leads no"), std::string::npos);
-  EXPECT_NE(ran.out.find("presence "), std::string::npos);
+  EXPECT_NE(ran.out.find("health "), std::string::npos);
   ran = run("counters --text " + to(cluster, 0));
   EXPECT_NE(ran.out.find("# TYPE foxshunt_reports counter\nfoxshunt_reports{node=\"node-0\"} 0\n"), std::string::npos)
       << ran.out;
   EXPECT_NE(ran.out.find("# TYPE foxshunt_leads gauge\nfoxshunt_leads{node=\"node-0\"} 0\n"), std::string::npos);
-  EXPECT_NE(ran.out.find("\nfoxshunt_presence{node=\"node-0\",is=\""), std::string::npos);
+  EXPECT_NE(ran.out.find("\nfoxshunt_health{node=\"node-0\",is=\""), std::string::npos);
   EXPECT_EQ(post(cluster.address(0), "/api/jobs", wire::encode(wire::to_value(job("j-000001", 1)))).status, 503);
   EXPECT_TRUE(cluster.up(0)) << "no other node would do better";
 }
--- a/tests/unit/peers_test.cpp
+++ b/tests/unit/peers_test.cpp
@@ -34,7 +34,7 @@
   const state::TermRecord record = state::term_from(wire::decode(answer.body));
   EXPECT_EQ(record.term, Term(4));
   EXPECT_EQ(record.leader, NodeName("node-2"));
-  EXPECT_TRUE(presence::word_from(wire::decode(answer.body)));
+  EXPECT_TRUE(health::contact_from(wire::decode(answer.body)));
   EXPECT_EQ(tell_lead(context, {.method = "POST", .path = "/lead", .body = "x"}).status, 404);
   EXPECT_EQ(tell_lead(context, {.method = "GET", .path = "/api/jobs/j-000001", .body = {}}).status, 404);
 }
