--- a/src/control/engine.h
+++ b/src/control/engine.h
@@ -20,12 +20,12 @@
 #include "plan/planner.h"
 #include "pools/desk.h"
 #include "preempt/preempt.h"
-#include "roster/roster.h"
+#include "inventory/machine_inventory.h"
 #include "standby/picture.h"
 #include "state/client.h"
 #include "state/records.h"
 #include "wire/messages.h"
-#include "work/books.h"
+#include "jobs/job_table.h"
 #include "zone/grants.h"
 #include "zone/view.h"
 
@@ -35,12 +35,12 @@
 using plan::Instant;
 using plan::Millis;
 
-using roster::Machine;
-using roster::MachineState;
-using work::Job;
-using work::Part;
-using work::Run;
-using work::WriteBatch;
+using inventory::Machine;
+using inventory::MachineState;
+using jobs::Job;
+using jobs::Part;
+using jobs::Run;
+using jobs::WriteBatch;
 
 struct DirectHalt {
   Term term;  // in which it was decided: its token, whoever leads when it is sent
@@ -116,9 +116,9 @@
   // All of live/, as a read found it that began in that term. False if this lead is another one: it knows better.
   [[nodiscard]] bool on_job_list(Term read_in, const std::vector<state::Entry>& live, std::int64_t wall_ms,
                                  Instant now);
-  [[nodiscard]] std::optional<work::Reload> next_reload() const { return jobs_.next_reload(); }
+  [[nodiscard]] std::optional<jobs::Reload> next_reload() const { return jobs_.next_reload(); }
   // What a fresh read of the record found.
-  void on_reloaded(const work::Reload& reload, std::optional<Revision> mark, Instant now);
+  void on_reloaded(const jobs::Reload& reload, std::optional<Revision> mark, Instant now);
   [[nodiscard]] std::optional<WriteBatch> begin_write(Instant now);
   void end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now);
 
@@ -340,8 +340,8 @@
   zone::Book grants_;
   zone::View zones_;
   pools::Desk pools_;
-  work::Books jobs_;
-  roster::Roster machines_;
+  jobs::JobTable jobs_;
+  inventory::MachineInventory machines_;
   std::vector<wire::MachineType> types_;
   plan::Planner planner_;
   Supply supply_;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -11,7 +11,7 @@
 namespace foxshunt::control {
 
 Machine& Engine::know_machine(const MachineId& id, Instant now) {
-  const roster::Roster::Known known = machines_.know(id, now);
+  const inventory::MachineInventory::Known known = machines_.know(id, now);
   if (known.fresh) know_cache(known.machine);
   return known.machine;
 }
@@ -247,7 +247,7 @@
     const Millis boot = from_seconds(kind == nullptr ? 0 : kind->boot_s);
     const Millis known = now - machine.known;
     const bool boot_lost =
-        machine.listed.running || machine.hinted == roster::Hinted::up
+        machine.listed.running || machine.hinted == inventory::Hinted::up
             ? known > lease_span(settings_) * 2 + boot
             : kind != nullptr && known > lease_span(settings_) && now - machine.since > boot * constants::kBootLost;
     const bool kept = settings_.operators.zone_watch && zones_.keeps(machine.zone, now);
@@ -268,7 +268,7 @@
       continue;
     }
     // The same of one that only a sibling's word tells of: it may have been returned since.
-    const bool hearsay = machine.type.empty() || machine.hinted != roster::Hinted::no;
+    const bool hearsay = machine.type.empty() || machine.hinted != inventory::Hinted::no;
     if (idle && !machine.reported && hearsay && now - machine.listed.last > unlisted) {
       forgotten.push_back(id);
       continue;
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -506,7 +506,7 @@
       // Who joins has the number of the others.
       if (!part.runs.empty()) attempt = part.runs.begin()->second.attempt;
     }
-    const std::vector<std::uint32_t> tasks = work::Books::pending_tasks(job, job.spec.tasks);
+    const std::vector<std::uint32_t> tasks = jobs::JobTable::pending_tasks(job, job.spec.tasks);
     auto next = tasks.begin();
     for (const plan::Placing& placing : due_of_gang(job, placings, now)) {
       for (std::uint32_t at = 0; at < placing.count && next != tasks.end(); ++at, ++next) {
@@ -520,7 +520,7 @@
   for (const plan::Placing& placing : placings) {
     Machine& machine = machines_.at(placing.machine);
     if (placing.start > now || !usable(machine, now)) continue;
-    for (const std::uint32_t index : work::Books::pending_tasks(job, placing.count)) {
+    for (const std::uint32_t index : jobs::JobTable::pending_tasks(job, placing.count)) {
       if (!room_for(job, machine, 1) || !quota_for(job, 1) || !place_allowed(job, machine, 1)) break;
       place(job, index, job.parts[index / constants::kTasksPerPart].next, machine, now);
       any = true;
--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -174,7 +174,7 @@
   }
 }
 
-void Engine::on_reloaded(const work::Reload& reload, std::optional<Revision> mark, Instant now) {
+void Engine::on_reloaded(const jobs::Reload& reload, std::optional<Revision> mark, Instant now) {
   if (!leading_) return;
   Job* job = jobs_.on_reloaded(reload, mark);
   if (job == nullptr) return;
@@ -229,7 +229,7 @@
 
 void Engine::end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now) {
   // The answer to an earlier lead's write tells nothing of this one: that its condition on the term failed is no reason to
-  // give this lead up, and the books that it was built from are gone.
+  // give this lead up, and the job table that it was built from is gone.
   if (!leading_ || (kept(Guard::write_earlier_lead) && batch.term_mark != term_mark_)) return;
   ++counters_.writes;
   if (result.answer != state::Answer::ok) ++counters_.writes_failed;
--- a/src/control/engine_standby.cpp
+++ b/src/control/engine_standby.cpp
@@ -64,7 +64,8 @@
   for (const auto& [id, machine] : machines_) {
     const bool there = machine.state == MachineState::booting || machine.state == MachineState::up;
     if (!there || machine.type.empty() || machine.listed.failed || machine.expired) continue;
-    const bool up = machine.state == MachineState::up || machine.hinted == roster::Hinted::up || machine.listed.running;
+    const bool up =
+        machine.state == MachineState::up || machine.hinted == inventory::Hinted::up || machine.listed.running;
     add(facts, Kind::machine, id.text(), 0,
         standby::Shared(standby::Machine{.address = machine.address,
                                          .type = machine.type,
@@ -157,9 +158,9 @@
   machine.images.insert(told.images.begin(), told.images.end());
   machine.errors = std::max(machine.errors,
                             static_cast<int>(std::min<std::uint64_t>(told.errors, constants::kMachineErrorsMost - 1)));
-  if (machine.reported || machine.state != MachineState::booting || machine.hinted != roster::Hinted::no) return;
+  if (machine.reported || machine.state != MachineState::booting || machine.hinted != inventory::Hinted::no) return;
   if (machine.type.empty()) {  // not listed yet
-    machine.hinted = told.up ? roster::Hinted::up : roster::Hinted::boots;
+    machine.hinted = told.up ? inventory::Hinted::up : inventory::Hinted::boots;
     machine.address = told.address;
     machine.type = told.type;
     machine.zone = told.zone;
--- a/src/control/engine_workers.cpp
+++ b/src/control/engine_workers.cpp
@@ -187,7 +187,7 @@
 bool Engine::startable(const Job& job, const Run& run, Instant now) const {
   if ((kept(Guard::start_durable) && !run.durable) || run.halting || !may_start(now)) return false;
   // All tasks of a gang start, or none: each one's placement has to be durable.
-  return job.spec.kind != wire::JobKind::gang || !kept(Guard::gang_durable) || work::Books::all_durable(job);
+  return job.spec.kind != wire::JobKind::gang || !kept(Guard::gang_durable) || jobs::JobTable::all_durable(job);
 }
 
 bool Engine::settled(const wire::Report& report) const {
--- a/src/control/supply.h
+++ b/src/control/supply.h
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "plan/usage_vector.h"
-#include "roster/roster.h"
+#include "inventory/machine_inventory.h"
 #include "wire/ids.h"
 #include "wire/messages.h"
 
@@ -14,7 +14,7 @@
 
 class Supply {
  public:
-  using Kind = roster::Kind;
+  using Kind = inventory::Kind;
   using Held = std::map<Kind, std::size_t>;      // machines of each kind that there are
   using Wanted = std::map<Kind, std::uint64_t>;  // machines more
 
--- a/src/roster/roster.cpp
+++ b/src/inventory/machine_inventory.cpp
@@ -1,4 +1,4 @@
-#include "roster/roster.h"
+#include "inventory/machine_inventory.h"
 
 #include <spdlog/spdlog.h>
 
@@ -7,12 +7,12 @@
 
 #include "config/guards.h"
 
-namespace foxshunt::roster {
+namespace foxshunt::inventory {
 
 using guards::Guard;
 using guards::kept;
 
-Roster::Known Roster::know(const MachineId& id, Instant now) {
+MachineInventory::Known MachineInventory::know(const MachineId& id, Instant now) {
   const auto [entry, fresh] = machines_.try_emplace(id);
   Machine& machine = entry->second;
   if (fresh) {
@@ -25,20 +25,20 @@
   return {.machine = machine, .fresh = fresh};
 }
 
-bool Roster::news(const wire::Report& report) const {
+bool MachineInventory::news(const wire::Report& report) const {
   if (gone_.contains(report.machine) && kept(Guard::report_returned)) return false;
   const auto known = machines_.find(report.machine);
   if (known == machines_.end() || !known->second.reported || !kept(Guard::report_order)) return true;
   return std::tie(report.session, report.sequence) > std::tie(known->second.session, known->second.sequence);
 }
 
-bool Roster::newest(const wire::Report& report) const {
+bool MachineInventory::newest(const wire::Report& report) const {
   const auto known = machines_.find(report.machine);
   return known != machines_.end() &&
          std::tie(report.session, report.sequence) == std::tie(known->second.session, known->second.sequence);
 }
 
-bool Roster::hear(Machine& machine, const wire::Report& report, Term term, Instant now) {
+bool MachineInventory::hear(Machine& machine, const wire::Report& report, Term term, Instant now) {
   const bool booted = machine.state == MachineState::booting;
   if (!machine.reported || booted || machine.type.empty()) {
     machine.address = report.address;
@@ -62,7 +62,8 @@
   return booted;
 }
 
-std::optional<Roster::Known> Roster::list(const wire::ListedMachine& entry, Millis boot, Instant now) {
+std::optional<MachineInventory::Known> MachineInventory::list(const wire::ListedMachine& entry, Millis boot,
+                                                              Instant now) {
   if (gone_.contains(entry.id)) return std::nullopt;
   const Known known = know(entry.id, now);
   Machine& machine = known.machine;
@@ -84,7 +85,7 @@
   return known;
 }
 
-bool Roster::forget(const MachineId& id) {
+bool MachineInventory::forget(const MachineId& id) {
   const auto known = machines_.find(id);
   if (known == machines_.end()) return true;
   // Unproved is never gone: what may run there has to find its machine.
@@ -96,19 +97,19 @@
   return true;
 }
 
-bool Roster::silent(const Machine& machine, Instant now) const {
+bool MachineInventory::silent(const Machine& machine, Instant now) const {
   if (machine.reported) return now - machine.last_report >= spans_.silence;
   // Its worker has had the time to find this leader.
   return now - machine.known > spans_.detour;
 }
 
-bool Roster::usable(const Machine& machine, Instant now) const {
+bool MachineInventory::usable(const Machine& machine, Instant now) const {
   return machine.state == MachineState::up && machine.reported &&
          (!machine.strangers || !kept(Guard::stranger_unusable)) &&
          (!machine.expired || !kept(Guard::expired_unusable)) && !silent(machine, now);
 }
 
-Instant Roster::lease_end(const Machine& machine, Instant others_until, Instant granted_until) const {
+Instant MachineInventory::lease_end(const Machine& machine, Instant others_until, Instant granted_until) const {
   // Whoever may answer the worker may renew its lease: this leader only, once the worker has seen its term;
   // before that also an older leader, until its fence.
   Instant renewed = machine.reported && kept(Guard::lease_last_report) ? machine.last_report : Instant{};
@@ -118,12 +119,13 @@
   return renewed + spans_.lease;
 }
 
-bool Roster::lease_over(const Machine& machine, Instant others_until, Instant granted_until, Instant now) const {
+bool MachineInventory::lease_over(const Machine& machine, Instant others_until, Instant granted_until,
+                                  Instant now) const {
   return (!machine.reported || now > machine.last_report + spans_.lease || !kept(Guard::lease_last_report)) &&
          now > lease_end(machine, others_until, granted_until);
 }
 
-std::size_t Roster::unheard(Instant now) const {
+std::size_t MachineInventory::unheard(Instant now) const {
   std::size_t silent = 0;
   for (const auto& [unused, machine] : machines_) {
     if (!machine.reported || machine.expired) continue;
@@ -133,7 +135,7 @@
   return silent;
 }
 
-std::map<Kind, std::size_t> Roster::held() const {
+std::map<Kind, std::size_t> MachineInventory::held() const {
   std::map<Kind, std::size_t> count;
   for (const auto& [unused, machine] : machines_) {
     if (!machine.listed.failed) ++count[{machine.type, machine.zone, machine.spot}];
@@ -141,4 +143,4 @@
   return count;
 }
 
-}  // namespace foxshunt::roster
+}  // namespace foxshunt::inventory
--- a/src/roster/roster.h
+++ b/src/inventory/machine_inventory.h
@@ -1,5 +1,5 @@
-// The machines that this leader has heard of, by reports, lists, rentals and records: what is known of each, and which
-// were returned. It keeps the books and answers questions; what becomes of a machine the engine decides. Pure.
+// The machine inventory: the machines that this leader has heard of by reports, lists, rentals and records, what is known of
+// each, and which were returned. What becomes of a machine the engine decides. Pure: the time is passed in; not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -14,11 +14,11 @@
 #include "wire/ids.h"
 #include "wire/messages.h"
 
-namespace foxshunt::work {
-class Books;
+namespace foxshunt::jobs {
+class JobTable;
 }
 
-namespace foxshunt::roster {
+namespace foxshunt::inventory {
 
 using plan::Instant;
 using plan::Millis;
@@ -28,7 +28,7 @@
 // What only a sibling's word says of a machine that has not reported to this leader: plans may count on it, no more.
 enum class Hinted : std::uint8_t { no, boots, up };
 
-// The tasks that are placed on a machine and not proved gone. Only the books of work change it, together with the runs
+// The tasks that are placed on a machine and not proved gone. Only the job table changes it, together with the runs
 // themselves, so that the two can't part.
 class RunsHere {
  public:
@@ -41,7 +41,7 @@
   [[nodiscard]] std::set<TaskKey> copy() const { return keys_; }
 
  private:
-  friend class work::Books;
+  friend class jobs::JobTable;
   void insert(const TaskKey& key) { keys_.insert(key); }
   void erase(const TaskKey& key) { keys_.erase(key); }
 
@@ -95,10 +95,10 @@
 
 using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
 
-class Roster {
+class MachineInventory {
  public:
-  Roster() = default;
-  explicit Roster(const Spans& spans) : spans_(spans) {}
+  MachineInventory() = default;
+  explicit MachineInventory(const Spans& spans) : spans_(spans) {}
 
   // ---- who is known ----
   struct Known {
@@ -152,4 +152,4 @@
   std::set<MachineId> gone_;  // returned
 };
 
-}  // namespace foxshunt::roster
+}  // namespace foxshunt::inventory
--- a/src/work/books.cpp
+++ b/src/jobs/job_table.cpp
@@ -1,4 +1,4 @@
-#include "work/books.h"
+#include "jobs/job_table.h"
 
 #include <spdlog/spdlog.h>
 
@@ -8,7 +8,7 @@
 #include "config/constants.h"
 #include "config/guards.h"
 
-namespace foxshunt::work {
+namespace foxshunt::jobs {
 
 using guards::Guard;
 using guards::kept;
@@ -17,7 +17,7 @@
   return std::ranges::any_of(parts, [](const Part& part) { return part.in_flight; });
 }
 
-Run* Books::find_run(const TaskKey& task) {
+Run* JobTable::find_run(const TaskKey& task) {
   const auto job = jobs_.find(task.job);
   if (job == jobs_.end() || task.index >= job->second.spec.tasks) return nullptr;
   Part& part = job->second.parts[task.index / constants::kTasksPerPart];
@@ -25,7 +25,7 @@
   return run == part.runs.end() ? nullptr : &run->second;
 }
 
-std::vector<std::uint32_t> Books::pending_tasks(const Job& job, std::uint32_t most) {
+std::vector<std::uint32_t> JobTable::pending_tasks(const Job& job, std::uint32_t most) {
   std::vector<std::uint32_t> tasks;
   for (std::uint32_t number = 0; number < job.parts.size() && tasks.size() < most; ++number) {
     const Part& part = job.parts[number];
@@ -38,18 +38,18 @@
   return tasks;
 }
 
-Amounts Books::team_use(const std::string& team) const {
+Amounts JobTable::team_use(const std::string& team) const {
   const auto known = team_use_.find(team);
   return known == team_use_.end() ? Amounts{} : known->second;
 }
 
-bool Books::settled(const TaskKey& task) const {
+bool JobTable::settled(const TaskKey& task) const {
   const auto entry = jobs_.find(task.job);
   if (entry == jobs_.end() || task.index >= entry->second.spec.tasks || entry->second.withdrawn) return true;
   return entry->second.parts[task.index / constants::kTasksPerPart].settled();
 }
 
-bool Books::all_durable(const Job& job) {
+bool JobTable::all_durable(const Job& job) {
   return std::ranges::all_of(job.parts, [](const Part& part) {
     return std::ranges::all_of(part.runs, [](const auto& entry) { return entry.second.durable; });
   });
@@ -57,8 +57,8 @@
 
 // ---- records ----
 
-Job& Books::add(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, roster::Roster& machines,
-                Instant now) {
+Job& JobTable::add(const state::JobRecord& record, Revision mark, std::int64_t wall_ms,
+                   inventory::MachineInventory& machines, Instant now) {
   Job& job = jobs_[record.spec.id];
   job.spec = record.spec;
   job.each = Amounts::from(record.spec.cpus, record.spec.gpus, record.spec.ram_gb);
@@ -74,8 +74,8 @@
   return job;
 }
 
-void Books::adopt_part(Job& job, std::uint32_t number, const state::PartRecord& record, roster::Roster& machines,
-                       Instant now) {
+void JobTable::adopt_part(Job& job, std::uint32_t number, const state::PartRecord& record,
+                          inventory::MachineInventory& machines, Instant now) {
   Part& part = job.parts[number];
   part.next = record.next;
   part.done = record.done;
@@ -94,7 +94,7 @@
   }
 }
 
-bool Books::on_record(const JobId& id, Revision mark) {
+bool JobTable::on_record(const JobId& id, Revision mark) {
   if (ended_.contains(id)) return false;
   const auto known = jobs_.find(id);
   if (known == jobs_.end()) return true;
@@ -104,7 +104,7 @@
   return false;
 }
 
-Job* Books::on_removed(const JobId& id) {
+Job* JobTable::on_removed(const JobId& id) {
   ended_.erase(id);
   const auto known = jobs_.find(id);
   if (known == jobs_.end() || known->second.withdrawn) return nullptr;
@@ -117,7 +117,7 @@
   return &job;
 }
 
-std::optional<Reload> Books::next_reload() const {
+std::optional<Reload> JobTable::next_reload() const {
   for (const auto& [id, job] : jobs_) {
     if (job.in_flight()) continue;
     if (job.reload) return Reload{.job = id, .part = {}};
@@ -127,11 +127,11 @@
   return std::nullopt;
 }
 
-bool Books::has_unread() const {
+bool JobTable::has_unread() const {
   return std::ranges::any_of(jobs_, [](const auto& entry) { return entry.second.reload; });
 }
 
-Job* Books::on_reloaded(const Reload& reload, std::optional<Revision> mark) {
+Job* JobTable::on_reloaded(const Reload& reload, std::optional<Revision> mark) {
   const auto known = jobs_.find(reload.job);
   if (known == jobs_.end()) return nullptr;
   Job& job = known->second;
@@ -152,7 +152,7 @@
   return &job;
 }
 
-std::vector<std::uint32_t> Books::withdraw(Job& job) {
+std::vector<std::uint32_t> JobTable::withdraw(Job& job) {
   job.withdrawn = true;
   job.reload = false;
   std::vector<std::uint32_t> never_told;
@@ -170,21 +170,21 @@
   return never_told;
 }
 
-void Books::touch(Job& job, std::uint32_t number, Instant now) {
+void JobTable::touch(Job& job, std::uint32_t number, Instant now) {
   Part& part = job.parts[number];
   if (part.settled()) part.dirty_since = now;
   part.dirty = true;
   if (!job.withdrawn || job.runs_count == 0) dirty_.insert({job.spec.id, job.withdrawn ? 0 : number});
 }
 
-Job Books::take_out(const JobId& id) {
+Job JobTable::take_out(const JobId& id) {
   dirty_.erase(dirty_.lower_bound({id, 0}), dirty_.upper_bound({id, UINT32_MAX}));
   return std::move(jobs_.extract(id).mapped());
 }
 
 // ---- runs ----
 
-Run& Books::place(Job& job, std::uint32_t index, AttemptNo attempt, roster::Machine& machine, Instant now) {
+Run& JobTable::place(Job& job, std::uint32_t index, AttemptNo attempt, inventory::Machine& machine, Instant now) {
   Part& part = job.parts[index / constants::kTasksPerPart];
   Run run{.attempt = attempt, .machine = machine.id, .session = machine.session};
   run.placed = now;
@@ -196,7 +196,7 @@
   return part.runs.emplace(index, run).first->second;
 }
 
-void Books::mark_done(Job& job, std::uint32_t index) {
+void JobTable::mark_done(Job& job, std::uint32_t index) {
   Part& part = job.parts[index / constants::kTasksPerPart];
   if (part.done[index % constants::kTasksPerPart]) return;
   part.done[index % constants::kTasksPerPart] = true;
@@ -204,7 +204,8 @@
   ++job.done_count;
 }
 
-std::optional<Run> Books::prove_gone(Job& job, std::uint32_t index, roster::Roster& machines, Instant now) {
+std::optional<Run> JobTable::prove_gone(Job& job, std::uint32_t index, inventory::MachineInventory& machines,
+                                        Instant now) {
   const std::uint32_t number = index / constants::kTasksPerPart;
   Part& part = job.parts[number];
   const auto entry = part.runs.find(index);
@@ -222,7 +223,7 @@
 
 // ---- writes ----
 
-void Books::add_update(Job& job, std::uint32_t number, std::size_t ops_most, WriteBatch& batch, Instant now) {
+void JobTable::add_update(Job& job, std::uint32_t number, std::size_t ops_most, WriteBatch& batch, Instant now) {
   Part& part = job.parts[number];
   state::PartRecord record{.next = part.next, .done = part.done, .runs = {}};
   WriteItem item{.kind = WriteItem::Kind::update, .job = job.spec.id, .part = number, .runs = {}};
@@ -255,7 +256,7 @@
   batch.items.push_back(std::move(item));
 }
 
-std::optional<WriteBatch> Books::begin_write(Revision term_mark, std::size_t ops_most, Instant now) {
+std::optional<WriteBatch> JobTable::begin_write(Revision term_mark, std::size_t ops_most, Instant now) {
   if (dirty_.empty()) return std::nullopt;
   WriteBatch batch{.term_mark = term_mark, .items = {}, .txn = {}};
   if (kept(Guard::write_term)) batch.txn.conditions.push_back({.key = state::kTermKey, .mark = term_mark});
@@ -336,7 +337,7 @@
   return batch;
 }
 
-std::vector<Job> Books::end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now) {
+std::vector<Job> JobTable::end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now) {
   std::vector<Job> erased;
   const auto failed = [&](const std::string& key) {
     return std::ranges::find(result.failed, key) != result.failed.end();
@@ -404,7 +405,7 @@
   return erased;
 }
 
-std::optional<std::string> Books::disagreement(const roster::Roster& machines) const {
+std::optional<std::string> JobTable::disagreement(const inventory::MachineInventory& machines) const {
   std::map<std::string, Amounts> used;
   std::map<MachineId, std::size_t> on_machine;
   for (const auto& [id, job] : jobs_) {
@@ -450,4 +451,4 @@
   return std::nullopt;
 }
 
-}  // namespace foxshunt::work
+}  // namespace foxshunt::jobs
--- a/src/work/books.h
+++ b/src/jobs/job_table.h
@@ -1,6 +1,6 @@
-// The jobs that this leader knows, with their parts and what of them is placed on machines: what is durable, what memory
-// is ahead of, what is on its way, and what teams use. It keeps the books and builds the writes; what is placed, halted or
-// taken for gone the engine decides. Pure.
+// The job table: the jobs that this leader knows, their parts, and the runs (allocations of tasks to machines): what is
+// durable, what memory is ahead of the records, which writes are under way, and what teams use. It builds the writes; what is
+// placed, halted or taken for terminated the engine decides. Pure: the time is passed in; not thread-safe.
 //
 // Nothing that may run leaves it but by prove_gone(), and nothing is started that is not `durable`.
 #pragma once
@@ -14,13 +14,13 @@
 #include <vector>
 
 #include "plan/planner.h"
-#include "roster/roster.h"
+#include "inventory/machine_inventory.h"
 #include "state/records.h"
 #include "state/txn.h"
 #include "wire/ids.h"
 #include "wire/messages.h"
 
-namespace foxshunt::work {
+namespace foxshunt::jobs {
 
 using plan::Amounts;
 using plan::Instant;
@@ -58,7 +58,7 @@
   [[nodiscard]] bool settled() const { return !dirty && !in_flight; }
 };
 
-// What the leader plans for a job. The books carry it along and read nothing of it.
+// What the leader plans for a job. The job table carries it along and reads nothing of it.
 struct Outlook {
   std::vector<plan::BookingId> booked;   // of tasks that have not been placed
   std::optional<Instant> planned_start;  // of its first task that waits
@@ -115,12 +115,12 @@
 };
 
 struct WriteBatch {
-  Revision term_mark;  // of the lead whose books it is built from
+  Revision term_mark;  // of the lead from whose job table it is built
   std::vector<WriteItem> items;
   state::Txn txn;
 };
 
-class Books {
+class JobTable {
  public:
   // ---- who is known ----
   [[nodiscard]] auto begin() { return jobs_.begin(); }
@@ -144,9 +144,10 @@
 
   // ---- records, in the order of their revisions ----
   // `wall_ms`: now, by the time of day. What the record places is adopted, on machines that may be known by it alone.
-  Job& add(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, roster::Roster& machines, Instant now);
-  void adopt_part(Job& job, std::uint32_t number, const state::PartRecord& record, roster::Roster& machines,
-                  Instant now);
+  Job& add(const state::JobRecord& record, Revision mark, std::int64_t wall_ms, inventory::MachineInventory& machines,
+           Instant now);
+  void adopt_part(Job& job, std::uint32_t number, const state::PartRecord& record,
+                  inventory::MachineInventory& machines, Instant now);
   // The watch tells of live/<job>. True when that job is to be added.
   [[nodiscard]] bool on_record(const JobId& id, Revision mark);
   // The watch tells that live/<job> is gone. The job that is to be withdrawn, if that was not this leader's own doing.
@@ -161,10 +162,10 @@
   [[nodiscard]] std::vector<std::uint32_t> withdraw(Job& job);
 
   // ---- runs ----
-  Run& place(Job& job, std::uint32_t index, AttemptNo attempt, roster::Machine& machine, Instant now);
+  Run& place(Job& job, std::uint32_t index, AttemptNo attempt, inventory::Machine& machine, Instant now);
   void mark_done(Job& job, std::uint32_t index);
   // The only way in which a run leaves memory. Gives back what it was.
-  std::optional<Run> prove_gone(Job& job, std::uint32_t index, roster::Roster& machines, Instant now);
+  std::optional<Run> prove_gone(Job& job, std::uint32_t index, inventory::MachineInventory& machines, Instant now);
 
   // ---- writes ----
   [[nodiscard]] bool writes_wanted() const { return !dirty_.empty(); }
@@ -174,8 +175,8 @@
   // Jobs that nothing is left of, in memory and in the records, are given back.
   std::vector<Job> end_write(const WriteBatch& batch, const state::TxnResult& result, Instant now);
 
-  // The first disagreement in the books, in words; for tests.
-  [[nodiscard]] std::optional<std::string> disagreement(const roster::Roster& machines) const;
+  // The first inconsistency of the table, in words; for tests.
+  [[nodiscard]] std::optional<std::string> disagreement(const inventory::MachineInventory& machines) const;
 
  private:
   void add_update(Job& job, std::uint32_t number, std::size_t ops_most, WriteBatch& batch, Instant now);
@@ -188,4 +189,4 @@
   std::map<std::string, Amounts> team_use_;  // everything placed and not proved gone
 };
 
-}  // namespace foxshunt::work
+}  // namespace foxshunt::jobs
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -330,7 +330,7 @@
 
 void WriteDuty::reload_jobs() {
   while (true) {
-    std::optional<work::Reload> reload;
+    std::optional<jobs::Reload> reload;
     {
       const std::lock_guard lock(context_.engine_mutex.of(Duty::writes));
       reload = context_.engine.next_reload();
--- a/tests/explorer/digest.cpp
+++ b/tests/explorer/digest.cpp
@@ -100,7 +100,7 @@
       out << id.text() << (job.mark == mark_now(state::live_key(id))) << job.withdrawn << job.had_runs << job.reload
           << job.done_count << job.begun << job.errors << away(job.not_before) << job.failed_on.size()
           << (job.gather_until ? away(*job.gather_until) : "-");
-      for (const work::Part& part : job.parts) {
+      for (const jobs::Part& part : job.parts) {
         out << part.next << part.dirty << part.in_flight << part.reload;
         for (const bool done : part.done) out << (done ? 1 : 0);
         for (const auto& [index, run] : part.runs) {
--- a/tests/explorer/model.cpp
+++ b/tests/explorer/model.cpp
@@ -854,7 +854,7 @@
 std::optional<std::string> Model::breach() const {
   if (!rules_.broken().empty()) return rules_.broken().front();
   if (!history_.broken().empty()) return history_.broken().front();
-  if (fault_) return "books: " + *fault_;
+  if (fault_) return "job table: " + *fault_;
   return std::nullopt;
 }
 
--- a/tests/explorer/model.h
+++ b/tests/explorer/model.h
@@ -155,7 +155,7 @@
     Instant sent;
     int left = 1;  // times that it arrives
     state::Txn txn;
-    std::optional<work::WriteBatch> batch;
+    std::optional<jobs::WriteBatch> batch;
     std::optional<state::TxnResult> result;
     std::optional<Node::Taking> taking;
     std::optional<JobId> creates;
@@ -242,7 +242,7 @@
   std::map<JobId, Instant> withdrawn_;    // since its user was told
   standins::Rules rules_;
   standins::History history_;
-  std::optional<std::string> fault_;  // of the books
+  std::optional<std::string> fault_;  // of the job table
 };
 
 }  // namespace foxshunt::explorer
--- a/tests/standins/world_users.cpp
+++ b/tests/standins/world_users.cpp
@@ -280,7 +280,8 @@
   rules_.check_waiting(machines_for_rules(), now_);
   for (const Node& node : nodes_) {
     if (!node.alive || !node.engine->leading()) continue;
-    if (const auto fault = node.engine->disagreement()) throw std::logic_error("the books disagree: " + *fault);
+    if (const auto fault = node.engine->disagreement())
+      throw std::logic_error("the job table is inconsistent: " + *fault);
   }
   after(kPollEvery, [this] { poll_users(); });
 }
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -132,7 +132,7 @@
   engine_.lead(again, now_);
   engine_.end_write(*late, {.answer = state::Answer::conflict, .revision = {}, .failed = {state::kTermKey}}, now_);
   EXPECT_TRUE(engine_.leading());
-  // It is built anew from this lead's books, and written once.
+  // It is built anew from this lead's job table, and written once.
   submit(job_of(1));
   report(kFirst, 2, Term(9));
   engine_.plan_pass(now_);
--- a/tests/unit/books_test.cpp
+++ b/tests/unit/job_table_test.cpp
@@ -1,5 +1,5 @@
-// The books of jobs: they agree with each other and with the records whatever comes, and nothing leaves them unproved.
-#include "work/books.h"
+// The job table is consistent in itself and with the records whatever comes, and no run leaves it without proof.
+#include "jobs/job_table.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 #include "config/constants.h"
 #include "standins/state_store.h"
 
-namespace foxshunt::work {
+namespace foxshunt::jobs {
 namespace {
 
 constexpr std::size_t kOps = 12;
@@ -40,8 +40,8 @@
     spec.cpus = 2;
     ASSERT_EQ(store_.txn(state::accept_txn(state::new_job(spec, 0))).answer, state::Answer::ok);
     const state::Entry live = store_.get(state::live_key(id)).entry;
-    ASSERT_TRUE(books_.on_record(id, live.mark));
-    books_.add(state::job_from(live.data), live.mark, 0, machines_, now_);
+    ASSERT_TRUE(table_.on_record(id, live.mark));
+    table_.add(state::job_from(live.data), live.mark, 0, machines_, now_);
   }
   // A user cancels; true when it was not over yet. The watch has not told of it yet.
   bool cancel(const JobId& id) {
@@ -51,26 +51,26 @@
                state::Answer::ok;
   }
   void hear_of_cancel(const JobId& id) {
-    if (Job* job = books_.on_removed(id)) stop(*job);
+    if (Job* job = table_.on_removed(id)) stop(*job);
   }
   void stop(Job& job) {
-    for (const std::uint32_t index : books_.withdraw(job)) gone(job, index);
+    for (const std::uint32_t index : table_.withdraw(job)) gone(job, index);
   }
-  void gone(Job& job, std::uint32_t index) { EXPECT_TRUE(books_.prove_gone(job, index, machines_, now_)); }
+  void gone(Job& job, std::uint32_t index) { EXPECT_TRUE(table_.prove_gone(job, index, machines_, now_)); }
   void place(Job& job, std::uint32_t index, const MachineId& machine = kMachine) {
     const AttemptNo attempt = job.parts[index / constants::kTasksPerPart].next;
-    books_.place(job, index, attempt, machines_.know(machine, now_).machine, now_);
+    table_.place(job, index, attempt, machines_.know(machine, now_).machine, now_);
   }
-  std::optional<WriteBatch> begin() { return books_.begin_write(term_mark_, kOps, now_); }
+  std::optional<WriteBatch> begin() { return table_.begin_write(term_mark_, kOps, now_); }
   bool write() {
     const auto batch = begin();
-    if (batch) books_.end_write(*batch, store_.txn(batch->txn), now_);
+    if (batch) table_.end_write(*batch, store_.txn(batch->txn), now_);
     return batch.has_value();
   }
   void reload() {
-    while (const auto reload = books_.next_reload()) {
+    while (const auto reload = table_.next_reload()) {
       const state::GetResult found = store_.get(reload->key());
-      Job* gone = books_.on_reloaded(
+      Job* gone = table_.on_reloaded(
           *reload, found.answer == state::Answer::ok ? std::optional(found.entry.mark) : std::nullopt);
       if (gone != nullptr) stop(*gone);
     }
@@ -93,104 +93,104 @@
     return runs;
   }
   void expect_agreement() {
-    const auto fault = books_.disagreement(machines_);
+    const auto fault = table_.disagreement(machines_);
     ASSERT_FALSE(fault) << *fault;
   }
 
   standins::StateStore store_;
   Revision term_mark_;
   Instant now_{Millis(1'000'000)};
-  roster::Roster machines_{{.lease = Millis(10'000), .silence = Millis(3'000), .detour = Millis(6'000)}};
-  Books books_;
+  inventory::MachineInventory machines_{{.lease = Millis(10'000), .silence = Millis(3'000), .detour = Millis(6'000)}};
+  JobTable table_;
 };
 
 TEST_F(Book, APlacementIsDurableOnceItsWriteIsKnownToHaveSucceeded) {
   submit(kJob, 2);
-  Job& job = books_.at(kJob);
+  Job& job = table_.at(kJob);
   place(job, 0);
-  EXPECT_FALSE(books_.settled({kJob, 0}));
+  EXPECT_FALSE(table_.settled({kJob, 0}));
   const auto first = begin();
   ASSERT_TRUE(first);
   EXPECT_FALSE(begin());  // one at a time
   place(job, 1);          // what comes meanwhile waits for the next write
   EXPECT_FALSE(begin());
-  books_.end_write(*first, store_.txn(first->txn), now_);
-  EXPECT_TRUE(books_.find_run({kJob, 0})->durable);
-  EXPECT_FALSE(books_.find_run({kJob, 1})->durable);
-  EXPECT_FALSE(Books::all_durable(job));
+  table_.end_write(*first, store_.txn(first->txn), now_);
+  EXPECT_TRUE(table_.find_run({kJob, 0})->durable);
+  EXPECT_FALSE(table_.find_run({kJob, 1})->durable);
+  EXPECT_FALSE(JobTable::all_durable(job));
   EXPECT_TRUE(write());
-  EXPECT_TRUE(Books::all_durable(job));
-  EXPECT_TRUE(books_.settled({kJob, 0}));
-  EXPECT_FALSE(books_.writes_wanted());
+  EXPECT_TRUE(JobTable::all_durable(job));
+  EXPECT_TRUE(table_.settled({kJob, 0}));
+  EXPECT_FALSE(table_.writes_wanted());
 }
 
 // The write may be applied, or may be yet: what is tried again names the same revision, so that one of the two fails.
 TEST_F(Book, AWriteWithoutAnAnswerIsTriedAgainOnTheSameRevision) {
   submit(kJob, 1);
-  place(books_.at(kJob), 0);
+  place(table_.at(kJob), 0);
   const auto lost = begin();
   (void)store_.txn(lost->txn);
-  books_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
-  EXPECT_FALSE(books_.find_run({kJob, 0})->durable);
+  table_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
+  EXPECT_FALSE(table_.find_run({kJob, 0})->durable);
   const auto again = begin();
   ASSERT_TRUE(again);
   const state::TxnResult result = store_.txn(again->txn);
   ASSERT_EQ(result.answer, state::Answer::conflict);
-  books_.end_write(*again, result, now_);
-  ASSERT_TRUE(books_.next_reload());
-  EXPECT_EQ(books_.next_reload()->key(), state::live_key(kJob));
+  table_.end_write(*again, result, now_);
+  ASSERT_TRUE(table_.next_reload());
+  EXPECT_EQ(table_.next_reload()->key(), state::live_key(kJob));
   EXPECT_FALSE(begin());  // the record is read first
   reload();
   EXPECT_TRUE(write());
-  EXPECT_TRUE(books_.find_run({kJob, 0})->durable);
+  EXPECT_TRUE(table_.find_run({kJob, 0})->durable);
 }
 
 // The same of a job in parts: the part's record is read again, else it would be tried on the old revision for ever.
 TEST_F(Book, APartsWriteWithoutAnAnswerIsTriedAgainOnTheRevisionThatIsThere) {
   submit(kJob, 200);
-  place(books_.at(kJob), 150);
+  place(table_.at(kJob), 150);
   const auto lost = begin();
   (void)store_.txn(lost->txn);
-  books_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
+  table_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
   EXPECT_TRUE(write());  // the conflict tells
   for (int round = 0; round < 3; ++round) {
     reload();
     write();
   }
-  EXPECT_TRUE(books_.find_run({kJob, 150})->durable);
+  EXPECT_TRUE(table_.find_run({kJob, 150})->durable);
 }
 
 // What was written without an answer is removed as well when its job is withdrawn.
 TEST_F(Book, NoPartIsLeftOfAJobWhoseWriteHadNoAnswer) {
   submit(kJob, 200);
-  place(books_.at(kJob), 150);
+  place(table_.at(kJob), 150);
   const auto lost = begin();
   (void)store_.txn(lost->txn);
-  books_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
+  table_.end_write(*lost, {.answer = state::Answer::none, .revision = {}, .failed = {}}, now_);
   ASSERT_TRUE(cancel(kJob));
   hear_of_cancel(kJob);
   while (write()) {
   }
-  EXPECT_EQ(books_.size(), 0U);
+  EXPECT_EQ(table_.size(), 0U);
   EXPECT_TRUE(store_.list(state::kPartPrefix).entries.empty());
 }
 
 // An attempt that is placed again while the write of the one before is under way is not made durable by it.
 TEST_F(Book, AWriteMakesDurableOnlyTheAttemptInIt) {
   submit(kJob, 1);
-  Job& job = books_.at(kJob);
+  Job& job = table_.at(kJob);
   place(job, 0);
   const auto first = begin();
   gone(job, 0);
   place(job, 0);
-  books_.end_write(*first, store_.txn(first->txn), now_);
-  EXPECT_EQ(books_.find_run({kJob, 0})->attempt, AttemptNo(2));
-  EXPECT_FALSE(books_.find_run({kJob, 0})->durable);
+  table_.end_write(*first, store_.txn(first->txn), now_);
+  EXPECT_EQ(table_.find_run({kJob, 0})->attempt, AttemptNo(2));
+  EXPECT_FALSE(table_.find_run({kJob, 0})->durable);
 }
 
 TEST_F(Book, AWithdrawnJobStaysUntilAllItsRunsAreProvedGone) {
   submit(kJob, 3);
-  Job& job = books_.at(kJob);
+  Job& job = table_.at(kJob);
   place(job, 0);
   place(job, 1);
   write();
@@ -203,24 +203,24 @@
   EXPECT_FALSE(write());
   EXPECT_FALSE(machines_.forget(kMachine));  // unproved is never gone
   EXPECT_EQ(store_.get(state::linger_key(kJob)).answer, state::Answer::ok);
-  EXPECT_EQ(books_.team_use("red"), job.each);
+  EXPECT_EQ(table_.team_use("red"), job.each);
   gone(job, 0);
   EXPECT_TRUE(write());
   EXPECT_EQ(store_.get(state::linger_key(kJob)).answer, state::Answer::not_found);
-  EXPECT_EQ(books_.size(), 0U);
+  EXPECT_EQ(table_.size(), 0U);
   EXPECT_TRUE(machines_.forget(kMachine));
 }
 
 TEST_F(Book, ARemovalDuringAWriteWaitsForTheAnswer) {
   submit(kJob, 1);
-  Job& job = books_.at(kJob);
+  Job& job = table_.at(kJob);
   place(job, 0);
   const auto batch = begin();
   ASSERT_TRUE(cancel(kJob));
-  EXPECT_EQ(books_.on_removed(kJob), nullptr);
-  EXPECT_FALSE(books_.next_reload());
-  books_.end_write(*batch, store_.txn(batch->txn), now_);
-  ASSERT_TRUE(books_.next_reload());
+  EXPECT_EQ(table_.on_removed(kJob), nullptr);
+  EXPECT_FALSE(table_.next_reload());
+  table_.end_write(*batch, store_.txn(batch->txn), now_);
+  ASSERT_TRUE(table_.next_reload());
   reload();
   EXPECT_TRUE(job.withdrawn);
   EXPECT_EQ(job.runs_count, 0U);
@@ -229,31 +229,31 @@
 
 TEST_F(Book, RecordsAreTakenInTheOrderOfTheirRevisions) {
   submit(kJob, 1);
-  Job& job = books_.at(kJob);
+  Job& job = table_.at(kJob);
   const Revision mark = job.mark;
-  EXPECT_FALSE(books_.on_record(kJob, Revision(mark.number() + 4)));
-  EXPECT_FALSE(books_.on_record(kJob, mark));  // an older word
+  EXPECT_FALSE(table_.on_record(kJob, Revision(mark.number() + 4)));
+  EXPECT_FALSE(table_.on_record(kJob, mark));  // an older word
   EXPECT_EQ(job.mark, Revision(mark.number() + 4));
   // The end of a job is this leader's own doing: words of it that are under way bring it back no more.
   job.mark = mark;
   place(job, 0);
   write();
-  books_.mark_done(job, 0);
+  table_.mark_done(job, 0);
   gone(job, 0);
   EXPECT_TRUE(write());
-  EXPECT_EQ(books_.size(), 0U);
-  EXPECT_FALSE(books_.on_record(kJob, mark));
-  EXPECT_EQ(books_.on_removed(kJob), nullptr);
+  EXPECT_EQ(table_.size(), 0U);
+  EXPECT_FALSE(table_.on_record(kJob, mark));
+  EXPECT_EQ(table_.on_removed(kJob), nullptr);
 }
 
 TEST_F(Book, WhatARecordPlacesIsAdopted) {
   submit(kJob, 200);
-  place(books_.at(kJob), 5);
-  place(books_.at(kJob), 150);
+  place(table_.at(kJob), 5);
+  place(table_.at(kJob), 150);
   while (write()) {
   }
-  Books next;
-  roster::Roster machines;
+  JobTable next;
+  inventory::MachineInventory machines;
   const state::Entry live = store_.get(state::live_key(kJob)).entry;
   Job& job = next.add(state::job_from(live.data), live.mark, 0, machines, now_);
   for (const state::Entry& entry : store_.list(state::kPartPrefix).entries) {
@@ -281,12 +281,12 @@
   std::vector<JobId> cancelled;  // the watch has not told yet
   std::set<std::pair<TaskKey, AttemptNo>> unproved;
   const auto prove = [&](Job& job, std::uint32_t index) {
-    unproved.erase({{job.spec.id, index}, books_.find_run({job.spec.id, index})->attempt});
+    unproved.erase({{job.spec.id, index}, table_.find_run({job.spec.id, index})->attempt});
     gone(job, index);
   };
   const auto some_run = [&]() -> std::optional<TaskKey> {
     std::vector<TaskKey> keys;
-    for (const auto& [id, job] : books_) {
+    for (const auto& [id, job] : table_) {
       for (const Part& part : job.parts) {
         for (const auto& [index, unused] : part.runs) keys.push_back({id, index});
       }
@@ -295,23 +295,23 @@
     return keys[draw(static_cast<std::uint32_t>(keys.size() - 1))];
   };
   const auto end = [&](state::TxnResult result) {
-    books_.end_write(*under_way, result, now_);
+    table_.end_write(*under_way, result, now_);
     under_way.reset();
   };
   for (int step = 0; step < 3'000; ++step) {
     now_ += Millis(draw(400));
     switch (draw(11)) {
       case 0:
-        if (books_.size() < 8) {
+        if (table_.size() < 8) {
           submit(job_id(++jobs), draw(4) == 0 ? 129 + draw(200) : 1 + draw(12), draw(1) == 0 ? "red" : "blue");
         }
         break;
       case 1:
       case 2:
       case 3:
-        for (auto& [unused, job] : books_) {
+        for (auto& [unused, job] : table_) {
           if (job.withdrawn || draw(2) > 0) continue;
-          for (const std::uint32_t index : Books::pending_tasks(job, draw(40))) {
+          for (const std::uint32_t index : JobTable::pending_tasks(job, draw(40))) {
             place(job, index, MachineId("m-" + std::to_string(draw(9))));
           }
         }
@@ -322,8 +322,8 @@
         for (std::uint32_t count = draw(30); count > 0; --count) {
           const auto key = some_run();
           if (!key) break;
-          Job& job = books_.at(key->job);
-          if (draw(3) > 0 && !job.withdrawn && books_.find_run(*key)->durable) books_.mark_done(job, key->index);
+          Job& job = table_.at(key->job);
+          if (draw(3) > 0 && !job.withdrawn && table_.find_run(*key)->durable) table_.mark_done(job, key->index);
           prove(job, key->index);
         }
         break;
@@ -361,7 +361,7 @@
         }
     }
     // What was durable once stays in memory until it was proved gone, whatever became of its job.
-    for (const auto& [id, job] : books_) {
+    for (const auto& [id, job] : table_) {
       for (const Part& part : job.parts) {
         for (const auto& [index, run] : part.runs) {
           if (run.durable) unproved.insert({{id, index}, run.attempt});
@@ -369,7 +369,7 @@
       }
     }
     for (const auto& [key, attempt] : unproved) {
-      const work::Run* run = books_.find_run(key);
+      const jobs::Run* run = table_.find_run(key);
       ASSERT_NE(run, nullptr) << key.text();
       ASSERT_EQ(run->attempt, attempt) << key.text();
     }
@@ -382,36 +382,36 @@
   for (const JobId& id : cancelled) hear_of_cancel(id);
   if (under_way) end({.answer = state::Answer::refused, .revision = {}, .failed = {}});
   while (const auto key = some_run()) {
-    Job& job = books_.at(key->job);
-    if (!job.withdrawn) books_.mark_done(job, key->index);
+    Job& job = table_.at(key->job);
+    if (!job.withdrawn) table_.mark_done(job, key->index);
     prove(job, key->index);
   }
-  for (auto& [unused, job] : books_) {
+  for (auto& [unused, job] : table_) {
     while (!job.withdrawn && job.pending() > 0) {
-      for (const std::uint32_t index : Books::pending_tasks(job, 500)) {
+      for (const std::uint32_t index : JobTable::pending_tasks(job, 500)) {
         place(job, index);
-        books_.mark_done(job, index);
+        table_.mark_done(job, index);
         gone(job, index);
       }
     }
   }
-  for (int round = 0; round < 500 && (books_.size() > 0 || books_.next_reload()); ++round) {
+  for (int round = 0; round < 500 && (table_.size() > 0 || table_.next_reload()); ++round) {
     reload();
     write();
     expect_agreement();
   }
-  EXPECT_EQ(books_.size(), 0U);
+  EXPECT_EQ(table_.size(), 0U);
   EXPECT_GT(jobs, 20U);
   EXPECT_TRUE(recorded().empty());
   for (const char* prefix : {state::kLivePrefix, state::kLingerPrefix, state::kPartPrefix}) {
     EXPECT_TRUE(store_.list(prefix).entries.empty()) << prefix;
   }
   for (const auto& [unused, machine] : machines_) EXPECT_TRUE(machine.runs.empty());
-  EXPECT_EQ(books_.team_use("red"), Amounts{});
-  EXPECT_EQ(books_.team_use("blue"), Amounts{});
+  EXPECT_EQ(table_.team_use("red"), Amounts{});
+  EXPECT_EQ(table_.team_use("blue"), Amounts{});
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomBook, testing::Range(1U, 13U));
 
 }  // namespace
-}  // namespace foxshunt::work
+}  // namespace foxshunt::jobs
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/machine_inventory_test.cpp
@@ -1,11 +1,11 @@
 // What is known of machines: which words teach something, and up to when their tasks may run on.
-#include "roster/roster.h"
+#include "inventory/machine_inventory.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
-namespace foxshunt::roster {
+namespace foxshunt::inventory {
 namespace {
 
 constexpr Millis kLease{10'000};
@@ -38,7 +38,7 @@
 
   static constexpr Term kTerm{7};
   Instant now_{Millis(1'000'000)};
-  Roster machines_{{.lease = kLease, .silence = kSilence, .detour = kDetour}};
+  MachineInventory machines_{{.lease = kLease, .silence = kSilence, .detour = kDetour}};
 };
 
 TEST_F(Machines, AReportThatIsNotNewerTeachesNothing) {
@@ -184,4 +184,4 @@
 }
 
 }  // namespace
-}  // namespace foxshunt::roster
+}  // namespace foxshunt::inventory
