--- a/tests/unit/concurrent_faults_test.cpp
+++ b/tests/unit/concurrent_faults_test.cpp
@@ -193,6 +193,14 @@
 
   state::TxnResult submit(const wire::JobSpec& spec) { return store_.txn(state::accept_txn(state::new_job(spec, 0))); }
 
+  // The job is accepted, the first engine leads, its only machine reports, and a pass places what fits.
+  void accept_and_plan(const wire::JobSpec& spec) {
+    ASSERT_EQ(submit(spec).answer, state::Answer::ok);
+    take_lead(engine_, NodeName("node-0"));
+    (void)report_to(engine_);
+    engine_.plan_pass(now_);
+  }
+
   // What the leader's watch tells.
   void follow(Engine& engine) {
     const state::FollowResult news = store_.follow(state::kLivePrefix, seen_);
@@ -248,10 +256,7 @@
 // New machines get work at once while writes lag, and the leader ends: its placement is carried out when its successor has
 // taken the lead and read the records, which know of none.
 TEST_F(ConcurrentFaultsAtTheStore, APlacementThatLagsIsRefusedOnceTheNextLeads) {
-  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
-  take_lead(engine_, NodeName("node-0"));
-  (void)report_to(engine_);
-  engine_.plan_pass(now_);
+  accept_and_plan(job_of(1));
   const WriteBatch late = written(engine_);
   lose_answer(engine_, late);
   EXPECT_FALSE(starts(report_to(engine_))) << "it may never be written";
@@ -266,10 +271,7 @@
 
 // A transaction without an answer is carried out after newer ones of the same controller: the job has run and is over.
 TEST_F(ConcurrentFaultsAtTheStore, APlacementThatLagsBringsNothingBackThatIsOver) {
-  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
-  take_lead(engine_, NodeName("node-0"));
-  (void)report_to(engine_);
-  engine_.plan_pass(now_);
+  accept_and_plan(job_of(1));
   const WriteBatch late = written(engine_);
   lose_answer(engine_, late);
   carry_out(engine_);
@@ -286,10 +288,7 @@
 TEST_F(ConcurrentFaultsAtTheStore, AWriteOnAPartThatLagsTakesNothingBack) {
   wire::JobSpec spec = job_of(constants::kTasksPerPart + 2);
   spec.cpus = 0.1;
-  ASSERT_EQ(submit(spec).answer, state::Answer::ok);
-  take_lead(engine_, NodeName("node-0"));
-  (void)report_to(engine_);
-  engine_.plan_pass(now_);
+  accept_and_plan(spec);
   carry_out(engine_);
   ASSERT_TRUE(starts(report_to(engine_)));
   const wire::TaskReport first = task(0, TaskState::ended, EndReason::done);
@@ -311,10 +310,7 @@
 
 // Only the answer is lost, and others read what was written: the next write meets it, reads it again, and goes on from there.
 TEST_F(ConcurrentFaultsAtTheStore, AWriteWhoseAnswerIsLostIsReadAgain) {
-  ASSERT_EQ(submit(job_of(1)).answer, state::Answer::ok);
-  take_lead(engine_, NodeName("node-0"));
-  (void)report_to(engine_);
-  engine_.plan_pass(now_);
+  accept_and_plan(job_of(1));
   const WriteBatch first = written(engine_);
   ASSERT_EQ(store_.txn(first.txn).answer, state::Answer::ok);
   lose_answer(engine_, first);
