--- a/tests/long-days.sh
+++ b/tests/long-days.sh
@@ -3,7 +3,8 @@
 # time, whose shares of served work it prints, many small days with quick crashes, with concurrent faults and with refusals,
 # and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a
 # time, after the build that README.md tells; what came of it is written to tests/long-days.result.txt.
-# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick and concurrent-fault ones
+# tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick days and of those
+# with concurrent faults
 set -euo pipefail
 cd "$(dirname "$0")/.."
 program=target/tests/scenario_tests
