--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -509,8 +509,13 @@
     const auto type = std::find_if(settings_.types.begin(), settings_.types.end(),
                                    [&](const wire::MachineType& one) { return one.name == body.text("burrow"); });
     if (type == settings_.types.end()) return reply(400, Value::Map{});
+    const auto held = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      return !entry.second.gone && entry.second.zone == body.text("covert");
+    }));
+    if (rented.empty() && held >= settings_.zone_capacity) return reply(503, Value::Map{{"error", "no capacity"}});
+    const std::size_t left = settings_.zone_capacity - std::min(settings_.zone_capacity, held);
     if (rented.empty()) {
-      for (std::uint64_t i = 0; i < std::min<std::uint64_t>(50, body.count("count")); ++i) {
+      for (std::uint64_t i = 0; i < std::min<std::uint64_t>({50, left, body.count("count")}); ++i) {
         std::string number = std::to_string(machines_.size() + 1);
         const MachineId id("m-" + std::string(6 - number.size(), '0') + number);
         Machine& machine = machines_[id];
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -121,6 +121,7 @@
   double gang_wait_s = 45;
   Millis boot{1500};
   double list_lag_s = 0;
+  std::size_t zone_capacity = 1000;  // machines of any kind that a zone has
 };
 
 // The cloud and its workers; each worker has a thread of its own and an address for /commands.
