Review case 3: a start refused for want of room is repeated for ever

Cause: amounts are rounded down to thousandths, and a refusal with no_room changes nothing in the next plan.

--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -400,6 +400,10 @@
   for (auto& [unused, machine] : machines_) sum += machine.worker->killed_by_lease();
   return sum;
 }
+std::size_t Fleet::refused(const JobId& job) {
+  const std::lock_guard lock(mutex_);
+  return refused_[job].size();
+}
 std::size_t Fleet::reports(int status) {
   const std::lock_guard lock(mutex_);
   return answers_[status];
@@ -588,6 +592,13 @@
       sent = now();
       heartbeat = machine.worker->heartbeat();
       heartbeat.address = machine.commands->address().text();
+      for (const wire::TaskStatus& status : heartbeat.tasks) {
+        if (status.state == wire::TaskState::ended && status.reason == wire::EndReason::no_room &&
+            refused_[status.task.job].emplace(status.task, status.attempt).second &&
+            refused_[status.task.job].size() <= 20)
+          note("refused " + status.task.text() + " try " + std::to_string(status.attempt.number()) + " on " + id.text() +
+               ": no_room");
+      }
       is_cut = cut_.contains(node);
     }
     const Value report = wire::to_value(heartbeat);
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -148,6 +148,8 @@
   std::size_t machines_with_room(double cpus, double gpus, double ram_gb);
   [[nodiscard]] std::size_t ran_twice() const { return ran_twice_; }
   std::size_t killed_by_lease();
+  // How many starts of the job's tasks were refused for want of room.
+  std::size_t refused(const JobId& job);
   // Reports that were answered with this status.
   std::size_t reports(int status);
   [[nodiscard]] std::size_t largest_report() const { return largest_report_; }
@@ -195,6 +197,7 @@
   std::map<std::string, double> use_;
   std::vector<Stay> stays_;
   std::map<int, std::size_t> answers_;
+  std::map<JobId, std::set<std::pair<TaskKey, AttemptNumber>>> refused_;
   std::set<std::size_t> cut_;
   std::atomic<std::size_t> ran_twice_{0};
   std::atomic<std::size_t> largest_report_{0};
