--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -514,10 +514,19 @@
                                    [&](const wire::MachineType& one) { return one.name == body.text("burrow"); });
     if (type == settings_.types.end()) return reply(400, Value::Map{});
     const auto held = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [&](const auto& entry) {
-      return !entry.second.gone && entry.second.zone == body.text("covert");
+      return !entry.second.gone && entry.second.type.name == type->name && entry.second.zone == body.text("covert");
     }));
-    if (rented.empty() && held >= settings_.zone_capacity) return reply(503, Value::Map{{"error", "no capacity"}});
-    const std::size_t left = settings_.zone_capacity - std::min(settings_.zone_capacity, held);
+    const auto of_type = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      return !entry.second.gone && entry.second.type.name == type->name;
+    }));
+    const auto most = settings_.type_capacity.find(type->name);
+    const std::size_t left =
+        std::min(settings_.zone_capacity - std::min(settings_.zone_capacity, held),
+                 most == settings_.type_capacity.end() ? 1000 : most->second - std::min(most->second, of_type));
+    if (rented.empty() && left == 0) {
+      note("no capacity for " + type->name + " in " + body.text("covert"));
+      return reply(503, Value::Map{{"error", "no capacity"}});
+    }
     if (rented.empty()) {
       for (std::uint64_t i = 0; i < std::min<std::uint64_t>({50, left, body.count("count")}); ++i) {
         std::string number = std::to_string(machines_.size() + 1);
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -121,7 +121,8 @@
   double gang_wait_s = 45;
   Millis boot{1500};
   double list_lag_s = 0;
-  std::size_t zone_capacity = 1000;  // machines of any kind that a zone has
+  std::size_t zone_capacity = 1000;  // machines of each type that a zone has
+  std::map<std::string, std::size_t> type_capacity{};  // the same in all zones together
 };
 
 // The cloud and its workers; each worker has a thread of its own and an address for /commands.
