Log a refused start with the leader's account of the machine

Change: the warning task_start_refused names allocations, reported tasks and what the leader counts as left after this task.

--- a/src/control/placement_rules.cpp
+++ b/src/control/placement_rules.cpp
@@ -8,12 +8,17 @@
 
 namespace foxshunt::control {
 
-bool machine_has_room(const ClusterState& cluster, const Job& job, const Machine& machine, std::uint32_t count) {
+ResourceAmounts unallocated_resources(const ClusterState& cluster, const Machine& machine) {
   const wire::MachineType* machine_type = cluster.find_machine_type(machine.type);
-  if (machine_type == nullptr) return false;
-  ResourceAmounts used = job.task_resources.times(count);
-  for (const TaskKey& key : machine.allocations) used += cluster.jobs.at(key.job).task_resources;
-  return used.fits_in(capacity_of(*machine_type));
+  if (machine_type == nullptr) return {};
+  ResourceAmounts left = capacity_of(*machine_type);
+  for (const TaskKey& key : machine.allocations) left -= cluster.jobs.at(key.job).task_resources;
+  return left;
+}
+
+bool machine_has_room(const ClusterState& cluster, const Job& job, const Machine& machine, std::uint32_t count) {
+  if (cluster.find_machine_type(machine.type) == nullptr) return false;
+  return job.task_resources.times(count).fits_in(unallocated_resources(cluster, machine));
 }
 
 bool team_has_quota(const ClusterState& cluster, const Job& job, std::uint32_t count) {
--- a/src/control/placement_rules.h
+++ b/src/control/placement_rules.h
@@ -8,6 +8,8 @@
 
 namespace foxshunt::control {
 
+// The machine's capacity less the resources of the tasks allocated there. Nothing if the machine's type is unknown.
+[[nodiscard]] ResourceAmounts unallocated_resources(const ClusterState& cluster, const Machine& machine);
 // Whether the machine's capacity suffices for `count` more tasks of the job in addition to the tasks allocated there.
 // False if the machine's type is unknown.
 [[nodiscard]] bool machine_has_room(const ClusterState& cluster, const Job& job, const Machine& machine,
--- a/src/control/reconciler.cpp
+++ b/src/control/reconciler.cpp
@@ -9,6 +9,7 @@
 #include "config/constants.h"
 #include "config/guards.h"
 #include "control/job_requirements.h"
+#include "control/placement_rules.h"
 #include "control/times.h"
 
 namespace foxshunt::control {
@@ -195,6 +196,7 @@
       break;
     case EndReason::error: on_task_failed(exchange, job, status); break;
     case EndReason::unknown: job.not_before = exchange.now + constants::kTaskErrorBackoff; break;
+    case EndReason::no_room: log_refused_start(exchange, status); break;
     default: break;
   }
   tasks_.confirm_terminated(job, index, std::string(wire::name_of(status.reason)).c_str(), exchange.now);
@@ -212,6 +214,21 @@
   tasks_.end_gang_attempt(job);
 }
 
+// The leader's own account of the machine tells whether it counts the tasks' resources otherwise than the agent does, or
+// whether the agent holds tasks that the leader does not know.
+void Reconciler::log_refused_start(const Exchange& exchange, const wire::TaskStatus& status) const {
+  const Machine& machine = exchange.machine;
+  const auto active = std::ranges::count_if(
+      exchange.heartbeat.tasks, [](const wire::TaskStatus& task) { return task.state != TaskState::ended; });
+  const ResourceAmounts left = unallocated_resources(cluster_, machine);
+  const auto whole = [&left](std::size_t resource) { return static_cast<double>(left.values[resource]) / 1'000; };
+  spdlog::warn(
+      "task_start_refused task={} attempt={} machine={} allocations={} reported={} left_cpus={} left_gpus={} "
+      "left_ram_gb={}",
+      status.task.text(), status.attempt.number(), machine.id.text(), machine.allocations.size(), active, whole(0),
+      whole(1), whole(2));
+}
+
 void Reconciler::on_task_failed(Exchange& exchange, Job& job, const wire::TaskStatus& status) {
   Machine& machine = exchange.machine;
   spdlog::warn("task_failed task={} machine={}", status.task.text(), machine.id.text());
