Count resources exactly instead of in thousandths

Users saw a job of one task stay "running" and never run: its start was refused with no_room every 0.5 s, for as long as the other tasks ran, while another machine was nearly empty. A team's tasks could also exceed its limit. Cause: plan::to_milli_units rounded every amount to the nearest thousandth, also down. 0.146484375 GB counted as 0.146, so the planner, the check before a placement, team limits, the demand estimate and rentals found room for 164 tasks where 163 fit, and made the same plan in every pass. Amounts below 0.0005 counted as nothing. Change: plan::AmountUnits holds the decimal number that was submitted in units of 10^-21, in 128 bits, and replaces MilliUnits everywhere: one conversion, in ResourceAmounts::from, for tasks, machine types and limits. Sums and comparisons are exact. The ratio of CPUs and memory to GPUs, which is an estimate and crosses processes in hints, stays in thousandths, now rounded up, so that what is reserved for GPU jobs is never too small. Weights are computed from doubles that are kept with the capacities. Tests that named raw thousandths name kUnitsPerWhole instead; their bounds are as before.

--- a/src/control/autoscaler.cpp
+++ b/src/control/autoscaler.cpp
@@ -19,11 +19,11 @@
 }
 
 void Autoscaler::record_gpu_demand(const ClusterState& cluster, Instant now) {
-  plan::MilliUnits wanted = 0;
+  plan::AmountUnits wanted = 0;
   for (const auto& [unused, job] : cluster.jobs) {
     if (!job.cancelled) wanted += job.task_resources.values[1] * (job.spec.tasks - job.done_count);
   }
-  plan::MilliUnits available = 0;
+  plan::AmountUnits available = 0;
   for (const auto& [unused, machine] : cluster.machines) {
     if (machine.plan_node == nullptr ||
         (machine.state != MachineState::booting && !cluster.is_schedulable(machine, now)))
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -21,7 +21,7 @@
 // Sets the teams' limits in the planner. A configured maximum of zero means no limit.
 void set_team_quotas(ClusterState& cluster) {
   const auto limit = [](double max_amount) {
-    return max_amount > 0 ? std::optional<plan::MilliUnits>(ResourceAmounts::from(max_amount, 0, 0).values[0])
+    return max_amount > 0 ? std::optional<plan::AmountUnits>(ResourceAmounts::from(max_amount, 0, 0).values[0])
                           : std::nullopt;
   };
   for (const config::Team& team : cluster.settings.teams) {
--- a/src/control/deadline_planner.cpp
+++ b/src/control/deadline_planner.cpp
@@ -15,7 +15,7 @@
 // How many of the job's tasks the booking covers, by its amount of CPU.
 std::uint64_t booked_task_count(const plan::Booking& booking, const Job& job) {
   return static_cast<std::uint64_t>(booking.amounts.values[0] /
-                                    std::max<plan::MilliUnits>(1, job.task_resources.values[0]));
+                                    std::max<plan::AmountUnits>(1, job.task_resources.values[0]));
 }
 
 // For how many tasks the places have room early enough for the tasks to end by the deadline. Stops counting at
--- a/src/control/demand_estimator.cpp
+++ b/src/control/demand_estimator.cpp
@@ -9,8 +9,28 @@
 
 namespace foxshunt::control {
 
+using plan::AmountUnits;
 using plan::ResourceAmounts;
 
+namespace {
+
+constexpr std::int64_t kThousandths = 1'000;  // of a CPU, a gigabyte or a GPU, in one
+// Tasks that use less of a GPU do not tell what a GPU needs beside it.
+constexpr AmountUnits kMinGpuShare = plan::kUnitsPerWhole / kThousandths;
+
+// Rounded up, so that what is reserved for GPU jobs is never too small for them.
+std::int64_t thousandths_per_gpu(AmountUnits amount, AmountUnits gpus) {
+  return static_cast<std::int64_t>((amount * kThousandths + gpus - 1) / gpus);
+}
+
+// The part of `amount` that is not reserved for the machine's GPUs. Everything is reserved until a GPU job was seen.
+AmountUnits without_reserve(AmountUnits amount, std::int64_t thousandths_per_gpu, AmountUnits gpus) {
+  if (thousandths_per_gpu <= 0) return 0;
+  return std::max<AmountUnits>(0, amount - thousandths_per_gpu * gpus / kThousandths);
+}
+
+}  // namespace
+
 void DemandEstimator::record_job(const wire::JobSpec& spec, const ResourceAmounts& each, plan::Instant submitted) {
   ClassDemand& demand = classes_[spec.job_class];
   demand.sample = spec;
@@ -18,17 +38,16 @@
   // expected_tasks() is never called for most classes, so old arrivals have to be dropped here.
   while (demand.arrivals.front().first < submitted - constants::kDemandWindow) demand.arrivals.pop_front();
   sizes_.record_job(spec.job_class, spec.tasks, submitted);
-  if (each.values[1] <= 0) return;
-  for (const std::size_t r : {0U, 2U}) {
-    usage_per_gpu_.values[r] = std::max(usage_per_gpu_.values[r], each.values[r] * 1000 / each.values[1]);
-  }
+  if (each.values[1] < kMinGpuShare) return;
+  usage_per_gpu_.cpus = std::max(usage_per_gpu_.cpus, thousandths_per_gpu(each.values[0], each.values[1]));
+  usage_per_gpu_.ram_gb = std::max(usage_per_gpu_.ram_gb, thousandths_per_gpu(each.values[2], each.values[1]));
 }
 
-void DemandEstimator::record_gpu_counts(plan::MilliUnits wanted, plan::MilliUnits available, plan::Instant now) {
+void DemandEstimator::record_gpu_counts(AmountUnits wanted, AmountUnits available, plan::Instant now) {
   while (!gpu_peaks_.empty() && gpu_peaks_.back().second <= wanted) gpu_peaks_.pop_back();
   gpu_peaks_.emplace_back(now, wanted);
   while (gpu_peaks_.front().first < now - constants::kGpuDemandWindow) gpu_peaks_.pop_front();
-  unclaimed_gpus_ = std::max<plan::MilliUnits>(0, available - gpu_peaks_.front().second);
+  unclaimed_gpus_ = std::max<AmountUnits>(0, available - gpu_peaks_.front().second);
 }
 
 // Keeps cores free for jobs that request GPUs (PAPER 5.4, "expensive resources").
@@ -41,12 +60,9 @@
            ResourceAmounts::from(spec.cpus, 0, spec.ram_gb).fits_in(ResourceAmounts::from(other.cpus, 0, other.ram_gb));
   });
   if (!fits_without_gpus) return amounts;  // the job can only run on machines with GPUs
-  for (const std::size_t r : {0U, 2U}) {
-    // Until a task with a GPU has been seen, the whole amount is reserved.
-    const plan::MilliUnits reserved =
-        usage_per_gpu_.values[r] > 0 ? usage_per_gpu_.values[r] * amounts.values[1] / 1000 : amounts.values[r];
-    amounts.values[r] = std::max<plan::MilliUnits>(0, amounts.values[r] - reserved);
-  }
+  const AmountUnits gpus = amounts.values[1];
+  amounts.values[0] = without_reserve(amounts.values[0], usage_per_gpu_.cpus, gpus);
+  amounts.values[2] = without_reserve(amounts.values[2], usage_per_gpu_.ram_gb, gpus);
   return amounts;
 }
 
@@ -87,8 +103,7 @@
   entry->second.arrivals = std::move(before);
 }
 
-void DemandEstimator::apply_gpu_hint(const GpuPeaks& peaks, plan::MilliUnits cpus_per_gpu,
-                                     plan::MilliUnits ram_per_gpu) {
+void DemandEstimator::apply_gpu_hint(const GpuPeaks& peaks, const UsagePerGpu& usage_per_gpu) {
   GpuPeaks merged;
   for (const GpuPeaks* source : {&peaks, static_cast<const GpuPeaks*>(&gpu_peaks_)}) {
     for (const auto& [when, items] : *source) {
@@ -97,8 +112,8 @@
     }
   }
   gpu_peaks_ = std::move(merged);
-  usage_per_gpu_.values[0] = std::max(usage_per_gpu_.values[0], cpus_per_gpu);
-  usage_per_gpu_.values[2] = std::max(usage_per_gpu_.values[2], ram_per_gpu);
+  usage_per_gpu_.cpus = std::max(usage_per_gpu_.cpus, usage_per_gpu.cpus);
+  usage_per_gpu_.ram_gb = std::max(usage_per_gpu_.ram_gb, usage_per_gpu.ram_gb);
 }
 
 }  // namespace foxshunt::control
--- a/src/control/demand_estimator.h
+++ b/src/control/demand_estimator.h
@@ -23,12 +23,19 @@
   std::deque<std::pair<plan::Instant, std::uint32_t>> arrivals;  // submission time and number of tasks of each job
 };
 
+// The most that GPU tasks use for each of their GPUs, in thousandths of a CPU and of a gigabyte. Zero until one was
+// seen.
+struct UsagePerGpu {
+  std::int64_t cpus = 0;
+  std::int64_t ram_gb = 0;
+};
+
 class DemandEstimator {
  public:
   // Records the arrival of a job. `each`: the resources of one of its tasks.
   void record_job(const wire::JobSpec& spec, const plan::ResourceAmounts& each, plan::Instant submitted);
   // Records how many GPUs all jobs want now, and how many the machines that are up or booting have.
-  void record_gpu_counts(plan::MilliUnits wanted, plan::MilliUnits available, plan::Instant now);
+  void record_gpu_counts(plan::AmountUnits wanted, plan::AmountUnits available, plan::Instant now);
 
   [[nodiscard]] const std::map<std::string, ClassDemand>& classes() const { return classes_; }
   // Whether a job of `tasks` tasks is among the largest of its class.
@@ -37,7 +44,7 @@
   }
   // Number of GPUs in excess of the peak demand within kGpuDemandWindow. Jobs without GPUs may use the machines of
   // these GPUs fully.
-  [[nodiscard]] plan::MilliUnits unclaimed_gpus() const { return unclaimed_gpus_; }
+  [[nodiscard]] plan::AmountUnits unclaimed_gpus() const { return unclaimed_gpus_; }
   // The capacity of a machine of `type` that tasks of the job may use. On GPU machines, jobs without GPUs must leave
   // the CPUs and memory free that GPU jobs need, unless they fit on no other one of `types`.
   [[nodiscard]] plan::ResourceAmounts usable_capacity(const wire::JobSpec& spec, const wire::MachineType& type,
@@ -48,12 +55,12 @@
 
   // ---- state that is exchanged with standby controllers as hints ----
   using Arrivals = std::deque<std::pair<plan::Instant, std::uint32_t>>;
-  using GpuPeaks = std::deque<std::pair<plan::Instant, plan::MilliUnits>>;
+  using GpuPeaks = std::deque<std::pair<plan::Instant, plan::AmountUnits>>;
   [[nodiscard]] std::uint32_t largest_job_size(const std::string& job_class) const {
     return sizes_.max_tasks(job_class);
   }
   [[nodiscard]] const GpuPeaks& gpu_peaks() const { return gpu_peaks_; }
-  [[nodiscard]] const plan::ResourceAmounts& usage_per_gpu() const { return usage_per_gpu_; }
+  [[nodiscard]] const UsagePerGpu& usage_per_gpu() const { return usage_per_gpu_; }
   void apply_largest_job_hint(const std::string& job_class, std::uint32_t tasks, plan::Instant now);
   // Adds a class of which this leader has seen no job.
   void apply_sample_hint(const wire::JobSpec& sample);
@@ -61,16 +68,15 @@
   // unfinished jobs; `before` also covers the finished ones.
   void apply_arrivals_hint(const std::string& job_class, Arrivals before, plan::Instant taken_at);
   // Merges the peaks of GPU demand, and the CPUs and memory that GPU tasks use per GPU.
-  void apply_gpu_hint(const GpuPeaks& peaks, plan::MilliUnits cpus_per_gpu, plan::MilliUnits ram_per_gpu);
+  void apply_gpu_hint(const GpuPeaks& peaks, const UsagePerGpu& usage_per_gpu);
 
  private:
   std::map<std::string, ClassDemand> classes_;
   aging::JobSizeTracker sizes_;
   // Maxima of the GPUs wanted at once, in order of time and decreasing; the front is the peak of the window.
-  std::deque<std::pair<plan::Instant, plan::MilliUnits>> gpu_peaks_;
-  plan::MilliUnits unclaimed_gpus_ = 0;  // GPUs of all machines beyond that peak
-  // Largest CPUs and memory of a GPU task for each of its GPUs; zero until a GPU task has been seen.
-  plan::ResourceAmounts usage_per_gpu_;
+  std::deque<std::pair<plan::Instant, plan::AmountUnits>> gpu_peaks_;
+  plan::AmountUnits unclaimed_gpus_ = 0;  // GPUs of all machines beyond that peak
+  UsagePerGpu usage_per_gpu_;
 };
 
 }  // namespace foxshunt::control
--- a/src/control/machine_filter.cpp
+++ b/src/control/machine_filter.cpp
@@ -52,7 +52,7 @@
 }
 
 bool MachineFilter::leaves_gpu_room(const Job& job, const Machine& machine, const ResourceAmounts& offered,
-                                    plan::MilliUnits& spare_gpus) const {
+                                    plan::AmountUnits& spare_gpus) const {
   ResourceAmounts cpu_work = job.task_resources;
   ResourceAmounts gpu_work;
   for (const TaskKey& key : machine.allocations) {
@@ -60,7 +60,7 @@
     (other.spec.gpus <= 0 ? cpu_work : gpu_work) += other.task_resources;
   }
   if (cpu_work.fits_in(offered)) return true;
-  const plan::MilliUnits gpus = machine.plan_node->spec.capacity.values[1];
+  const plan::AmountUnits gpus = machine.plan_node->spec.capacity.values[1];
   if (gpu_work.values[1] > 0 || spare_gpus < gpus) return false;
   spare_gpus -= gpus;
   return true;
@@ -79,7 +79,7 @@
 std::vector<plan::EligibleMachine> MachineFilter::find_candidate_places(const Job& job, Instant now) const {
   const std::vector<TypeFit> fits = evaluate_types(job);
   const std::optional<std::size_t> warmed_pool = cluster_.pools.warms(job.spec, now - job.submitted);
-  plan::MilliUnits spare_gpus = demand_.unclaimed_gpus();
+  plan::AmountUnits spare_gpus = demand_.unclaimed_gpus();
   std::vector<plan::EligibleMachine> places;
   const TypeFit* fit = nullptr;  // of the previous machine, which usually has the same type
   for (const auto& [id, machine] : cluster_.machines) {
--- a/src/control/machine_filter.h
+++ b/src/control/machine_filter.h
@@ -32,7 +32,7 @@
   // Whether a job without GPUs leaves the machine enough CPU and memory for GPU work. If the job takes a whole GPU
   // machine, the machine's GPUs are subtracted from `spare_gpus`.
   [[nodiscard]] bool leaves_gpu_room(const Job& job, const Machine& machine, const ResourceAmounts& offered,
-                                     plan::MilliUnits& spare_gpus) const;
+                                     plan::AmountUnits& spare_gpus) const;
   // How long the machine takes to boot and to fetch the job's image before a task of the job can run. `image_fetch`:
   // the fetch time on a machine of this type.
   [[nodiscard]] Millis preparation_time(const Job& job, const Machine& machine, Millis image_fetch, Instant now) const;
--- a/src/control/reconciler.cpp
+++ b/src/control/reconciler.cpp
@@ -221,12 +221,12 @@
   const auto active = std::ranges::count_if(
       exchange.heartbeat.tasks, [](const wire::TaskStatus& task) { return task.state != TaskState::ended; });
   const ResourceAmounts left = unallocated_resources(cluster_, machine);
-  const auto whole = [&left](std::size_t resource) { return static_cast<double>(left.values[resource]) / 1'000; };
+  const auto [cpus, gpus, ram_gb] = left.to_whole_amounts();
   spdlog::warn(
       "task_start_refused task={} attempt={} machine={} allocations={} reported={} left_cpus={} left_gpus={} "
       "left_ram_gb={}",
-      status.task.text(), status.attempt.number(), machine.id.text(), machine.allocations.size(), active, whole(0),
-      whole(1), whole(2));
+      status.task.text(), status.attempt.number(), machine.id.text(), machine.allocations.size(), active, cpus, gpus,
+      ram_gb);
 }
 
 void Reconciler::on_task_failed(Exchange& exchange, Job& job, const wire::TaskStatus& status) {
--- a/src/control/scheduling_queue.cpp
+++ b/src/control/scheduling_queue.cpp
@@ -1,6 +1,7 @@
 #include "control/scheduling_queue.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <string>
@@ -18,12 +19,11 @@
 // How much later than its real submission a job counts as submitted. The penalty grows with the job's share of the
 // fleet times its booking duration, and with each wait objective of its class that it has missed.
 Millis aging_penalty(const ClusterState& cluster, const Job& job, Instant now) {
-  const ResourceAmounts fleet = cluster.planner.fleet().capacity();
+  const std::array<double, plan::kResourceCount>& fleet = cluster.planner.whole_fleet_capacity();
+  const std::array<double, plan::kResourceCount> task{job.spec.cpus, job.spec.gpus, job.spec.ram_gb};
   double share = 0;
   for (std::size_t r = 0; r < plan::kResourceCount; ++r) {
-    if (fleet.values[r] <= 0) continue;
-    share = std::max(share, static_cast<double>(job.task_resources.values[r]) * job.spec.tasks /
-                                static_cast<double>(fleet.values[r]));
+    if (fleet[r] > 0) share = std::max(share, task[r] * job.spec.tasks / fleet[r]);
   }
   const Millis work = from_seconds(share * to_seconds(booking_duration(job)) * constants::kAgingPenaltyPerWork);
   // A job that has missed its objective yields, so that jobs that can still meet theirs are not delayed by it.
--- a/src/control/soft_state.cpp
+++ b/src/control/soft_state.cpp
@@ -54,14 +54,18 @@
   return jobs;
 }
 
-// Conversions between the planner's amounts and the unsigned integers of a snapshot, both in thousandths. Snapshot
-// values above 2^40 are reduced to 2^40.
-plan::MilliUnits to_milli_units(std::uint64_t count) {
-  return static_cast<plan::MilliUnits>(std::min<std::uint64_t>(count, std::uint64_t{1} << 40));
+// Snapshots carry amounts in thousandths of a CPU, of a GPU and of a gigabyte.
+constexpr plan::AmountUnits kUnitsPerThousandth = plan::kUnitsPerWhole / 1'000;
+// Larger amounts in a snapshot are reduced to this.
+constexpr std::uint64_t kMaxSnapshotAmount = std::uint64_t{1} << 40;
+
+plan::AmountUnits from_snapshot_amount(std::uint64_t thousandths) {
+  return std::min(thousandths, kMaxSnapshotAmount) * kUnitsPerThousandth;
 }
 
-std::uint64_t to_snapshot_amount(plan::MilliUnits amount) {
-  return static_cast<std::uint64_t>(std::max<plan::MilliUnits>(0, amount));
+std::uint64_t to_snapshot_amount(plan::AmountUnits amount) {
+  const plan::AmountUnits rounded_up = std::max<plan::AmountUnits>(0, amount + kUnitsPerThousandth - 1);
+  return static_cast<std::uint64_t>(rounded_up / kUnitsPerThousandth);
 }
 
 // Adds the machines that are booting or up. A booting machine also counts as up if the soft state of an earlier leader
@@ -180,8 +184,8 @@
 // Adds the recent peaks of GPU demand, and the CPUs and memory that tasks use per GPU.
 void add_gpu_demand(std::vector<SoftStateEntry>& entries, const DemandEstimator& demand) {
   standby::GpuDemand gpus{.peaks = {},
-                          .cpus_beside = to_snapshot_amount(demand.usage_per_gpu().values[0]),
-                          .ram_beside = to_snapshot_amount(demand.usage_per_gpu().values[2])};
+                          .cpus_beside = static_cast<std::uint64_t>(demand.usage_per_gpu().cpus),
+                          .ram_beside = static_cast<std::uint64_t>(demand.usage_per_gpu().ram_gb)};
   for (const auto& [when, amount] : demand.gpu_peaks()) {
     if (gpus.peaks.size() < constants::kMaxStandbyList / 2) gpus.peaks.emplace_back(when, to_snapshot_amount(amount));
   }
@@ -299,9 +303,11 @@
 void SoftStateRestorer::apply_gpu_demand(const standby::GpuDemand& hint, Instant now) {
   DemandEstimator::GpuPeaks peaks;
   for (const auto& [when, amount] : hint.peaks) {
-    if (when <= now && when >= now - constants::kGpuDemandWindow) peaks.emplace_back(when, to_milli_units(amount));
+    if (when <= now && when >= now - constants::kGpuDemandWindow)
+      peaks.emplace_back(when, from_snapshot_amount(amount));
   }
-  demand_.apply_gpu_hint(peaks, to_milli_units(hint.cpus_beside), to_milli_units(hint.ram_beside));
+  demand_.apply_gpu_hint(peaks, {.cpus = static_cast<std::int64_t>(std::min(hint.cpus_beside, kMaxSnapshotAmount)),
+                                 .ram_gb = static_cast<std::int64_t>(std::min(hint.ram_beside, kMaxSnapshotAmount))});
 }
 
 void SoftStateRestorer::apply(const standby::SoftStateSnapshot& snapshot, Instant now) {
--- a/src/control/team_quota.cpp
+++ b/src/control/team_quota.cpp
@@ -21,11 +21,10 @@
                                                         const plan::ResourceAmounts& used) const {
   std::optional<std::uint64_t> remaining;
   for (std::size_t resource = 0; resource < plan::kResourceCount; ++resource) {
-    // A quota that rounds to zero is ignored here, since the result is used in forecasts only.
-    if (!limits_[resource] || *limits_[resource] <= 0 || each.values[resource] <= 0) continue;
-    const plan::MilliUnits left =
-        std::max<plan::MilliUnits>(0, *limits_[resource] - used.values[resource]) / each.values[resource];
-    remaining = std::min(remaining.value_or(UINT64_MAX), static_cast<std::uint64_t>(left));
+    if (!limits_[resource] || each.values[resource] <= 0) continue;
+    const plan::AmountUnits left =
+        std::max<plan::AmountUnits>(0, *limits_[resource] - used.values[resource]) / each.values[resource];
+    remaining = static_cast<std::uint64_t>(std::min<plan::AmountUnits>(remaining.value_or(UINT64_MAX), left));
   }
   return remaining;
 }
--- a/src/control/team_quota.h
+++ b/src/control/team_quota.h
@@ -22,7 +22,7 @@
                                                              const plan::ResourceAmounts& used) const;
 
  private:
-  std::array<std::optional<plan::MilliUnits>, plan::kResourceCount> limits_;  // by resource; nothing: unlimited
+  std::array<std::optional<plan::AmountUnits>, plan::kResourceCount> limits_;  // by resource; nothing: unlimited
 };
 
 }  // namespace foxshunt::control
--- a/src/plan/free_intervals.cpp
+++ b/src/plan/free_intervals.cpp
@@ -22,7 +22,7 @@
     TimeInterval blocked{to, to};
     for (std::size_t r = 0; r < kResourceCount; ++r) {
       if (vectors[r] == nullptr) continue;
-      const MilliUnits max_used = vectors[r]->available() - amounts.values[r];
+      const AmountUnits max_used = vectors[r]->available() - amounts.values[r];
       while (!remaining[r].empty() &&
              (remaining[r].front().stop <= cursor || remaining[r].front().amount <= max_used)) {
         remaining[r] = remaining[r].subspan(1);
--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -14,6 +14,11 @@
   return zones_.size() - 1;
 }
 
+void Planner::set_fleet_capacity(const ResourceAmounts& total) {
+  fleet_.set_capacity(total);
+  whole_fleet_capacity_ = total.to_whole_amounts();
+}
+
 void Planner::set_machine(const MachineSpec& machine) {
   ResourceAmounts total = fleet_.capacity();
   const auto [entry, inserted] = machines_.try_emplace(machine.id);
@@ -22,7 +27,8 @@
   entry->second.spec = machine;
   entry->second.usage.set_capacity(machine.capacity);
   entry->second.zone_index = find_or_add_zone(machine.zone);
-  fleet_.set_capacity(total);
+  entry->second.whole_capacity = machine.capacity.to_whole_amounts();
+  set_fleet_capacity(total);
   // After a takeover, running tasks are known from their records before their machine is known. Their bookings have to
   // enter the machine's usage now, because revoke() subtracts them later. Otherwise the machine appeared to have more
   // room than it has: work was booked there that could not be placed, and machines that were really free were returned
@@ -40,7 +46,7 @@
   if (entry == machines_.end()) return;
   ResourceAmounts total = fleet_.capacity();
   total -= entry->second.spec.capacity;
-  fleet_.set_capacity(total);
+  set_fleet_capacity(total);
   machines_.erase(entry);
 }
 
--- a/src/plan/planner.h
+++ b/src/plan/planner.h
@@ -20,11 +20,11 @@
 // CPUs, GPUs and memory, in this order.
 inline constexpr std::size_t kResourceCount = 3;
 
-// An amount of each resource: CPUs, GPUs and gigabytes of memory, all in thousandths.
+// An amount of each resource: CPUs, GPUs and gigabytes of memory.
 struct ResourceAmounts {
-  std::array<MilliUnits, kResourceCount> values{};
+  std::array<AmountUnits, kResourceCount> values{};
 
-  // Takes whole units and rounds them to thousandths.
+  // Takes decimal numbers of whole CPUs, GPUs and gigabytes; see to_amount_units().
   static ResourceAmounts from(double cpus, double gpus, double ram_gb);
   ResourceAmounts& operator+=(const ResourceAmounts& other);
   ResourceAmounts& operator-=(const ResourceAmounts& other);
@@ -33,6 +33,8 @@
   [[nodiscard]] bool fits_in(const ResourceAmounts& room) const;
   // How many times these amounts fit into `room` at once; the largest 32-bit integer if they are all zero.
   [[nodiscard]] std::int64_t count_fitting_in(const ResourceAmounts& room) const;
+  // The amounts in whole CPUs, GPUs and gigabytes; see to_whole().
+  [[nodiscard]] std::array<double, kResourceCount> to_whole_amounts() const;
   friend bool operator==(const ResourceAmounts&, const ResourceAmounts&) = default;
 };
 
@@ -84,8 +86,8 @@
 
 // The limits on what all tasks of a team use at the same time. An unset limit means unlimited.
 struct TeamLimit {
-  std::optional<MilliUnits> cpus;
-  std::optional<MilliUnits> gpus;
+  std::optional<AmountUnits> cpus;
+  std::optional<AmountUnits> gpus;
 };
 
 // Resources of one machine that are set aside for tasks of a team in [start, stop).
@@ -103,7 +105,8 @@
 struct PlannedMachine {
   MachineSpec spec;
   ResourceUsage usage;
-  std::size_t zone_index = 0;  // index of spec.zone in the planner's list of zones
+  std::size_t zone_index = 0;                           // index of spec.zone in the planner's list of zones
+  std::array<double, kResourceCount> whole_capacity{};  // spec.capacity in whole units
 };
 
 // A machine on which the tasks of a request may run.
@@ -151,6 +154,8 @@
   [[nodiscard]] const std::map<MachineId, PlannedMachine>& machines() const { return machines_; }
   // Capacity and usage of all machines together.
   [[nodiscard]] const ResourceUsage& fleet() const { return fleet_; }
+  // Capacity of all machines together, in whole CPUs, GPUs and gigabytes; see to_whole().
+  [[nodiscard]] const std::array<double, kResourceCount>& whole_fleet_capacity() const { return whole_fleet_capacity_; }
 
   // Finds machines and start times for the tasks without booking them. Returns placements for fewer tasks than
   // requested if there is no free interval for the others. A gang is placed as a whole or not at all.
@@ -212,10 +217,12 @@
   [[nodiscard]] std::vector<std::size_t> sort_zones_by_name() const;
   // The number of the job's placed tasks, by zone index.
   [[nodiscard]] std::vector<std::uint32_t> count_tasks_by_zone(const PlacementRequest& request) const;
+  void set_fleet_capacity(const ResourceAmounts& total);
   // Returns the index of the zone. Adds the zone if it is new.
   [[nodiscard]] std::size_t find_or_add_zone(const std::string& zone);
 
   ResourceUsage fleet_;
+  std::array<double, kResourceCount> whole_fleet_capacity_{};  // the fleet's capacity in whole units
   std::map<MachineId, PlannedMachine> machines_;
   std::vector<std::string> zones_;
   std::map<std::string, TeamLimit> team_limits_;
--- a/src/plan/planner_search.cpp
+++ b/src/plan/planner_search.cpp
@@ -59,15 +59,11 @@
 // W = (largest share of the fleet's capacity over all resources + priority) * the fleet's CPUs. A machine that holds
 // much of a scarce resource such as GPUs gets a high weight.
 double Planner::weight(const PlannedMachine& machine) const {
-  const ResourceAmounts total = fleet_.capacity();
   double share = 0;
   for (std::size_t r = 0; r < kResourceCount; ++r) {
-    if (total.values[r] > 0) {
-      share =
-          std::max(share, static_cast<double>(machine.spec.capacity.values[r]) / static_cast<double>(total.values[r]));
-    }
+    if (whole_fleet_capacity_[r] > 0) share = std::max(share, machine.whole_capacity[r] / whole_fleet_capacity_[r]);
   }
-  const double cores = static_cast<double>(total.values[0]);
+  const double cores = whole_fleet_capacity_[0];
   return share * cores + machine.spec.priority * cores;
 }
 
@@ -79,7 +75,7 @@
   const ResourceUsage& team_usage = team_entry == usage_by_team_.end() ? kNoUsage : team_entry->second;
   const auto limit_entry = team_limits_.find(request.team);
   const TeamLimit limit = limit_entry == team_limits_.end() ? TeamLimit{} : limit_entry->second;
-  const std::array<std::optional<MilliUnits>, kResourceCount> limits{limit.cpus, limit.gpus, std::nullopt};
+  const std::array<std::optional<AmountUnits>, kResourceCount> limits{limit.cpus, limit.gpus, std::nullopt};
   UsageView view;
   for (std::size_t r = 0; r < kResourceCount; ++r) {
     if (request.per_task.values[r] <= 0) continue;
@@ -184,9 +180,9 @@
   for (std::size_t r = 0; r < kResourceCount; ++r) {
     const std::optional<UsageVector>& used = progress.view[r];
     if (!used) continue;
-    const MilliUnits room =
+    const AmountUnits room =
         used->available() - used->peak_usage(choice.start, add_saturating(choice.start, request.duration));
-    allowed = std::min(allowed, room / request.per_task.values[r]);
+    allowed = static_cast<std::int64_t>(std::min<AmountUnits>(allowed, room / request.per_task.values[r]));
   }
   return std::max<std::int64_t>(1, allowed);
 }
--- a/src/plan/resources.cpp
+++ b/src/plan/resources.cpp
@@ -1,20 +1,14 @@
 // Amounts of resources and their usage over time.
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "plan/planner.h"
 #include "plan/free_intervals.h"
 
 namespace foxshunt::plan {
-namespace {
-
-MilliUnits to_milli_units(double units) { return static_cast<MilliUnits>(std::llround(units * 1000.0)); }
-
-}  // namespace
 
 ResourceAmounts ResourceAmounts::from(double cpus, double gpus, double ram_gb) {
-  return {{to_milli_units(cpus), to_milli_units(gpus), to_milli_units(ram_gb)}};
+  return {{to_amount_units(cpus), to_amount_units(gpus), to_amount_units(ram_gb)}};
 }
 
 ResourceAmounts& ResourceAmounts::operator+=(const ResourceAmounts& other) {
@@ -29,7 +23,7 @@
 
 ResourceAmounts ResourceAmounts::times(std::int64_t count) const {
   ResourceAmounts product = *this;
-  for (MilliUnits& amount : product.values) amount *= count;
+  for (AmountUnits& amount : product.values) amount *= count;
   return product;
 }
 
@@ -41,11 +35,17 @@
 }
 
 std::int64_t ResourceAmounts::count_fitting_in(const ResourceAmounts& room) const {
-  std::int64_t count = std::numeric_limits<std::int32_t>::max();
+  AmountUnits count = std::numeric_limits<std::int32_t>::max();
   for (std::size_t r = 0; r < kResourceCount; ++r) {
-    if (values[r] > 0) count = std::min(count, std::max<MilliUnits>(0, room.values[r]) / values[r]);
+    if (values[r] > 0) count = std::min(count, std::max<AmountUnits>(0, room.values[r]) / values[r]);
   }
-  return count;
+  return static_cast<std::int64_t>(count);
+}
+
+std::array<double, kResourceCount> ResourceAmounts::to_whole_amounts() const {
+  std::array<double, kResourceCount> whole{};
+  std::ranges::transform(values, whole.begin(), to_whole);
+  return whole;
 }
 
 ResourceUsage::ResourceUsage(const ResourceAmounts& capacity) { set_capacity(capacity); }
--- a/src/plan/usage_vector.cpp
+++ b/src/plan/usage_vector.cpp
@@ -16,9 +16,9 @@
 void UsageVector::add(const Slot& slot) { apply_change(slot, 1); }
 void UsageVector::subtract(const Slot& slot) { apply_change(slot, -1); }
 
-void UsageVector::apply_change(const Slot& slot, MilliUnits sign) {
+void UsageVector::apply_change(const Slot& slot, AmountUnits sign) {
   if (slot.start >= slot.stop || slot.amount == 0) return;
-  const MilliUnits delta = sign * slot.amount;
+  const AmountUnits delta = sign * slot.amount;
   // The first slot that ends after the start of the change.
   auto first_slot = std::ranges::upper_bound(slots_, slot.start, {}, &Slot::stop);
   const auto first = static_cast<std::size_t>(first_slot - slots_.begin());
@@ -87,13 +87,13 @@
   return *this;
 }
 
-MilliUnits UsageVector::used_at(Instant when) const {
+AmountUnits UsageVector::used_at(Instant when) const {
   const auto slot = std::ranges::upper_bound(slots_, when, {}, &Slot::stop);
   return slot != slots_.end() && slot->start <= when ? slot->amount : 0;
 }
 
-MilliUnits UsageVector::peak_usage(Instant from, Instant to) const {
-  MilliUnits highest = 0;
+AmountUnits UsageVector::peak_usage(Instant from, Instant to) const {
+  AmountUnits highest = 0;
   for (auto slot = std::ranges::upper_bound(slots_, from, {}, &Slot::stop); slot != slots_.end() && slot->start < to;
        ++slot) {
     highest = std::max(highest, slot->amount);
@@ -106,10 +106,10 @@
   slots_.erase(slots_.begin(), slot);
 }
 
-UsageVector UsageVector::min_free(const UsageVector& system, MilliUnits limit, const UsageVector& limited_use) {
+UsageVector UsageVector::min_free(const UsageVector& system, AmountUnits limit, const UsageVector& limited_use) {
   // The free amount is the smaller of (available - used) and (limit - limited use). Expressed as usage of
   // `system.available()`, this is the larger of used and (available - limit + limited use).
-  const MilliUnits base = system.available() - limit;
+  const AmountUnits base = system.available() - limit;
   UsageVector result(system.available());
   result.slots_.reserve(2 * (system.slots_.size() + limited_use.slots_.size()) + 1);
   auto system_slot = system.slots_.begin();
@@ -125,7 +125,7 @@
     Instant next = kForever;
     if (system_slot != system_end) next = std::min(next, in_system_slot ? system_slot->stop : system_slot->start);
     if (limited_slot != limited_end) next = std::min(next, in_limited_slot ? limited_slot->stop : limited_slot->start);
-    const MilliUnits used =
+    const AmountUnits used =
         std::max(in_system_slot ? system_slot->amount : 0, base + (in_limited_slot ? limited_slot->amount : 0));
     if (used > 0) {
       if (!result.slots_.empty() && result.slots_.back().stop == cursor && result.slots_.back().amount == used) {
@@ -139,14 +139,14 @@
   return result;
 }
 
-FreeSlots UsageVector::free_slots(MilliUnits amount, Millis duration, Instant from, Instant to) const {
+FreeSlots UsageVector::free_slots(AmountUnits amount, Millis duration, Instant from, Instant to) const {
   FreeSlots found;
-  const MilliUnits capacity = available();
+  const AmountUnits capacity = available();
   if (amount > capacity) return found;
   bool open = false;  // whether `current` may still grow
   Slot current{};
   // Takes the next part of [from, to): extends the current slot by it, or closes the slot if too little is free.
-  const auto extend_or_close = [&](Instant start, Instant stop, MilliUnits free) {
+  const auto extend_or_close = [&](Instant start, Instant stop, AmountUnits free) {
     if (start >= stop) return;
     if (free < amount) {
       if (open && lasts_at_least(current.start, current.stop, duration)) found.push_back(current);
--- a/src/standby/picture.h
+++ b/src/standby/picture.h
@@ -95,7 +95,7 @@
   friend bool operator==(const Sample&, const Sample&) = default;
 };
 
-// GPUs wanted at once, falling; and the most that tasks take beside a thousand of them, in plan::MilliUnits.
+// GPUs wanted at once, falling; and the most CPUs and gigabytes that tasks use for each GPU. All in thousandths.
 struct GpuDemand {
   std::vector<std::pair<Instant, std::uint64_t>> peaks;
   std::uint64_t cpus_beside = 0;
--- a/tests/unit/demand_and_capacity_test.cpp
+++ b/tests/unit/demand_and_capacity_test.cpp
@@ -140,12 +140,12 @@
   const wire::JobSpec plain = spec_of("render", 1, 2, 0);
   EXPECT_EQ(demand_.usable_capacity(plain, types[0], types).values[0], 0);  // no GPU job has been seen yet
   learn(spec_of("train", 1, 4, 1));
-  EXPECT_EQ(demand_.usable_capacity(plain, types[0], types).values[0], 16'000);
-  EXPECT_EQ(demand_.usable_capacity(plain, types[1], types).values[0], 16'000);
-  EXPECT_EQ(demand_.usable_capacity(spec_of("train", 1, 4, 1), types[0], types).values[0], 32'000);
+  EXPECT_EQ(demand_.usable_capacity(plain, types[0], types).values[0], 16 * plan::kUnitsPerWhole);
+  EXPECT_EQ(demand_.usable_capacity(plain, types[1], types).values[0], 16 * plan::kUnitsPerWhole);
+  EXPECT_EQ(demand_.usable_capacity(spec_of("train", 1, 4, 1), types[0], types).values[0], 32 * plan::kUnitsPerWhole);
   wire::JobSpec bound = plain;
   bound.types = {"gpu"};  // the job can only run on GPU machines
-  EXPECT_EQ(demand_.usable_capacity(bound, types[0], types).values[0], 32'000);
+  EXPECT_EQ(demand_.usable_capacity(bound, types[0], types).values[0], 32 * plan::kUnitsPerWhole);
 }
 
 }  // namespace
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -89,7 +89,7 @@
 TEST(Planner, TeamLimitHoldsAtEveryMoment) {
   Planner planner;
   planner.set_machine(make_machine("m-1", 16, 0));
-  planner.set_team_limit("red", {.cpus = 8000, .gpus = std::nullopt});
+  planner.set_team_limit("red", {.cpus = 8 * kUnitsPerWhole, .gpus = std::nullopt});
   planner.book({.machine = MachineId("m-1"),
                 .team = "red",
                 .amounts = ResourceAmounts::from(4, 0, 1),
@@ -229,8 +229,8 @@
   ReferencePlanner reference;
   for (const char* team : {"red", "blue"}) {
     TeamLimit limit;
-    if (pick(0, 2) > 0) limit.cpus = pick(20, 160) * 1000;
-    if (pick(0, 2) > 0) limit.gpus = pick(2, 12) * 1000;
+    if (pick(0, 2) > 0) limit.cpus = pick(20, 160) * kUnitsPerWhole;
+    if (pick(0, 2) > 0) limit.gpus = pick(2, 12) * kUnitsPerWhole;
     planner.set_team_limit(team, limit);
     reference.set_team_limit(team, limit);
   }
--- a/tests/unit/reference_planner.cpp
+++ b/tests/unit/reference_planner.cpp
@@ -15,7 +15,7 @@
 // The slots within [from, to) in which all of the amounts are free and which last at least `duration`.
 FreeSlots free_slots(const ResourceUsage& usage, const ResourceAmounts& amounts, Millis duration, Instant from,
                      Instant to) {
-  FreeSlots found{{from, to, std::numeric_limits<MilliUnits>::max()}};
+  FreeSlots found{{from, to, std::numeric_limits<AmountUnits>::max()}};
   for (std::size_t r = 0; r < kResourceCount && !found.empty(); ++r) {
     if (amounts.values[r] > 0)
       found = intersect(found, usage.usage_of(r).free_slots(amounts.values[r], duration, from, to), duration);
@@ -41,10 +41,10 @@
 FreeSlots ReferencePlanner::free_fleet_slots(const PlacementRequest& request, std::int64_t count,
                                              const ResourceUsage& fleet, const ResourceUsage& team) const {
   const ResourceAmounts needed = request.per_task.times(count);
-  FreeSlots found{{request.earliest_start, kForever, std::numeric_limits<MilliUnits>::max()}};
+  FreeSlots found{{request.earliest_start, kForever, std::numeric_limits<AmountUnits>::max()}};
   const auto limit_entry = team_limits_.find(request.team);
   const TeamLimit limit = limit_entry == team_limits_.end() ? TeamLimit{} : limit_entry->second;
-  const std::array<std::optional<MilliUnits>, kResourceCount> limits{limit.cpus, limit.gpus, std::nullopt};
+  const std::array<std::optional<AmountUnits>, kResourceCount> limits{limit.cpus, limit.gpus, std::nullopt};
   for (std::size_t r = 0; r < kResourceCount && !found.empty(); ++r) {
     if (needed.values[r] <= 0) continue;
     UsageVector view = fleet.usage_of(r);
@@ -69,10 +69,9 @@
     double share = 0;
     for (std::size_t r = 0; r < kResourceCount; ++r) {
       if (total.values[r] <= 0) continue;
-      share =
-          std::max(share, static_cast<double>(machine.spec.capacity.values[r]) / static_cast<double>(total.values[r]));
+      share = std::max(share, to_whole(machine.spec.capacity.values[r]) / to_whole(total.values[r]));
     }
-    const auto cores = static_cast<double>(total.values[0]);
+    const double cores = to_whole(total.values[0]);
     candidates.push_back({.machine = &machine,
                           .setup_time = setup_times.at(id),
                           .weight = share * cores + machine.spec.priority * cores,
--- a/tests/unit/usage_vector_test.cpp
+++ b/tests/unit/usage_vector_test.cpp
@@ -15,10 +15,10 @@
 
 // The usage of a resource as an array with one entry per millisecond: a model that is obviously correct.
 struct ArrayModel {
-  std::array<MilliUnits, kLengthMs> used{};
-  void change(int start, int stop, MilliUnits amount) {
+  std::array<AmountUnits, kLengthMs> used{};
+  void change(int start, int stop, AmountUnits amount) {
     for (int t = start; t < stop; ++t)
-      used[static_cast<std::size_t>(t)] = std::max<MilliUnits>(0, used[static_cast<std::size_t>(t)] + amount);
+      used[static_cast<std::size_t>(t)] = std::max<AmountUnits>(0, used[static_cast<std::size_t>(t)] + amount);
   }
 };
 
@@ -51,7 +51,7 @@
     ArrayModel& changed_model = &changed == &vector ? model : team_model;
     const int start = pick(0, kLengthMs - 1);
     const int stop = pick(start + 1, kLengthMs);
-    const MilliUnits amount = pick(1, 6);
+    const AmountUnits amount = pick(1, 6);
     if (pick(0, 2) > 0) {
       changed.add({at(start), at(stop), amount});
       changed_model.change(start, stop, amount);
@@ -64,13 +64,13 @@
 
     // Free slots: each millisecond of a slot has the amount free, and each free period that is long enough lies in a
     // slot.
-    const MilliUnits needed = pick(1, 20);
+    const AmountUnits needed = pick(1, 20);
     const int duration = pick(1, 12);
     const FreeSlots free = vector.free_slots(needed, Millis(duration), at(0), at(kLengthMs));
     std::array<bool, kLengthMs> in_free_slot{};
     for (const Slot& slot : free) {
       ASSERT_GE(slot.stop - slot.start, Millis(duration));
-      MilliUnits lowest_free = 20;
+      AmountUnits lowest_free = 20;
       for (int t = static_cast<int>(slot.start.time_since_epoch().count()); at(t) < slot.stop; ++t) {
         in_free_slot[static_cast<std::size_t>(t)] = true;
         lowest_free = std::min(lowest_free, 20 - model.used[static_cast<std::size_t>(t)]);
@@ -90,12 +90,12 @@
     }
 
     // min_free(): the free amount is the smaller of what the system has free and what the team leaves of the limit.
-    const MilliUnits limit = pick(0, 25);
+    const AmountUnits limit = pick(0, 25);
     const UsageVector limited = UsageVector::min_free(vector, limit, team);
     for (int t = 0; t < kLengthMs; ++t) {
       const auto index = static_cast<std::size_t>(t);
-      const MilliUnits expected = std::min(20 - model.used[index], limit - team_model.used[index]);
-      ASSERT_EQ(20 - limited.used_at(at(t)), expected) << "at " << t << " limit " << limit;
+      const AmountUnits expected = std::min(20 - model.used[index], limit - team_model.used[index]);
+      ASSERT_EQ(20 - limited.used_at(at(t)), expected) << "at " << t << " limit " << static_cast<std::int64_t>(limit);
     }
 
     // intersect(): a millisecond lies in a result exactly if both vectors have the amount free then.
