Do not repeat a start at once on a machine that refused it

Users saw a job stay "running" and never run, beside a machine with room, whenever an agent had less room than the leader counted. Cause: Reconciler::on_task_ended had no case for no_room. What the agent said about its room was forgotten, so that each pass made the same plan, every 0.5 s, each time with another attempt and two writes. Change: the machine remembers the refused amounts for 10 s or until a task that ran there ends. Smaller tasks may still go there.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -137,6 +137,8 @@
 inline constexpr milliseconds kTaskErrorBackoff = 5s;             // first pause of a job whose tasks fail
 inline constexpr milliseconds kMaxTaskErrorBackoff =
     75s;  // failing jobs are tried this often for ever; none waits 90 s
+// A machine that refused a start for want of room is asked again this often; no task may wait 90 s.
+inline constexpr milliseconds kRefusedStartBackoff = 10s;
 inline constexpr milliseconds kDirectStopRetryInterval = 1s;  // direct halts are repeated until proof
 inline constexpr double kAgingPenaltyPerWork = 16;  // times the span for which a job would fill the whole fleet
 inline constexpr milliseconds kAgingPenaltyPerMissedObjective =
--- a/src/control/reconciler.cpp
+++ b/src/control/reconciler.cpp
@@ -185,6 +185,8 @@
   // heartbeats to learn when the images are fetched.
   if (status.reason == EndReason::alone) job.is_placed_in_stages = true;
   if (ended_with_image(status, allocation)) cluster_.record_cached_image(exchange.machine, job.spec);
+  // A task that has run leaves room, perhaps enough for the one that was refused.
+  if (allocation.running_since) exchange.machine.refused_start.reset();
   switch (status.reason) {
     case EndReason::done:
       exchange.machine.errors = 0;
@@ -196,7 +198,7 @@
       break;
     case EndReason::error: on_task_failed(exchange, job, status); break;
     case EndReason::unknown: job.not_before = exchange.now + constants::kTaskErrorBackoff; break;
-    case EndReason::no_room: log_refused_start(exchange, status); break;
+    case EndReason::no_room: on_start_refused(exchange, job, status); break;
     default: break;
   }
   tasks_.confirm_terminated(job, index, std::string(wire::name_of(status.reason)).c_str(), exchange.now);
@@ -214,6 +216,12 @@
   tasks_.end_gang_attempt(job);
 }
 
+void Reconciler::on_start_refused(Exchange& exchange, const Job& job, const wire::TaskStatus& status) {
+  log_refused_start(exchange, status);
+  exchange.machine.refused_start = {.amounts = job.task_resources,
+                                    .until = exchange.now + constants::kRefusedStartBackoff};
+}
+
 // The leader's own account of the machine tells whether it counts the tasks' resources otherwise than the agent does, or
 // whether the agent holds tasks that the leader does not know.
 void Reconciler::log_refused_start(const Exchange& exchange, const wire::TaskStatus& status) const {
--- a/src/control/reconciler.h
+++ b/src/control/reconciler.h
@@ -53,6 +53,7 @@
   void on_task_running(Job& job, const Machine& machine, Allocation& allocation, std::uint32_t index, Instant now);
   void on_task_ended(Exchange& exchange, Job& job, const Allocation& allocation, const wire::TaskStatus& status);
   void on_task_checkpointed(Job& job, const Allocation& allocation, std::uint32_t index, Instant now);
+  void on_start_refused(Exchange& exchange, const Job& job, const wire::TaskStatus& status);
   void log_refused_start(const Exchange& exchange, const wire::TaskStatus& status) const;
   void on_task_failed(Exchange& exchange, Job& job, const wire::TaskStatus& status);
   // Handles the allocations to the machine that the heartbeat does not report: confirms that they have terminated, or
--- a/src/inventory/machine_inventory.h
+++ b/src/inventory/machine_inventory.h
@@ -57,6 +57,13 @@
   Instant last;  // when a list last contained the machine; initially when it was added
 };
 
+// A start that the machine's agent refused because too few resources were free. The agent has the last word on that,
+// whatever this leader counts.
+struct RefusedStart {
+  plan::ResourceAmounts amounts;  // of the refused task
+  Instant until;                  // until then, no task that needs as much is placed on the machine
+};
+
 struct Machine {
   MachineId id;
   std::string address;
@@ -74,8 +81,9 @@
   Instant last_heartbeat;
   bool expired = false;  // the lease of the worker's last known session has certainly ended
   MachineAllocations allocations;
-  bool stopping = false;           // some of the allocations may have to be stopped
-  bool has_unknown_tasks = false;  // the latest heartbeat lists tasks that this leader did not place there
+  bool stopping = false;                      // some of the allocations may have to be stopped
+  bool has_unknown_tasks = false;             // the latest heartbeat lists tasks that this leader did not place there
+  std::optional<RefusedStart> refused_start;  // the latest one, until a task ends there
   std::set<std::string> images;
   int errors = 0;
   std::optional<Instant> idle_since;
@@ -87,6 +95,10 @@
   // The zone, or an empty string while it is known only from a peer hint. Zone grants and placements need the true
   // zone, and a hint may be wrong.
   [[nodiscard]] std::string confirmed_zone() const { return peer_hint == PeerHint::none ? zone : std::string(); }
+  // Whether the agent has lately refused a task that needed no more than `amounts`.
+  [[nodiscard]] bool would_refuse(const plan::ResourceAmounts& amounts, Instant now) const {
+    return refused_start && now < refused_start->until && refused_start->amounts.fits_in(amounts);
+  }
 };
 
 // Timeouts that decide whether a machine counts as silent and when its lease has ended. Derived from the settings.
--- a/tests/unit/reconciler_test.cpp
+++ b/tests/unit/reconciler_test.cpp
@@ -2,6 +2,9 @@
 #include "control/reconciler.h"
 
 #include "cluster_fixture.h"
+#include "config/constants.h"
+#include "control/demand_estimator.h"
+#include "control/machine_filter.h"
 
 namespace foxshunt::control {
 namespace {
@@ -91,6 +94,46 @@
   EXPECT_EQ(job_.allocation_count, 0U);
 }
 
+// Guards against a start that a machine refuses for want of room and that is repeated there for ever.
+TEST_F(ReconcilerTest, RefusedStartIsNotRepeatedOnTheMachineAtOnce) {
+  const Machine& other = add_machine("m-000002");
+  const DemandEstimator demand;
+  const auto candidates = [&] {
+    std::set<MachineId> machines;
+    for (const plan::EligibleMachine& place : MachineFilter(cluster_, demand).find_candidate_places(job_, now_))
+      machines.insert(place.machine->spec.id);
+    return machines;
+  };
+  const std::set<MachineId> both{machine_.id, other.id};
+  EXPECT_EQ(candidates(), both);
+  (void)reconciler_.on_heartbeat(
+      heartbeat(
+          {{.task = task_, .attempt = AttemptNumber(1), .state = TaskState::ended, .reason = EndReason::no_room}}),
+      now_);
+  EXPECT_EQ(job_.allocation_count, 0U);
+  EXPECT_EQ(candidates(), std::set<MachineId>{other.id});
+  EXPECT_FALSE(machine_.would_refuse(plan::ResourceAmounts::from(job_.spec.cpus / 2, 0, 0), now_));
+  now_ += constants::kRefusedStartBackoff;
+  machine_.last_heartbeat = cluster_.machines.at(other.id).last_heartbeat = now_;
+  EXPECT_EQ(candidates(), both);
+}
+
+TEST_F(ReconcilerTest, MachineTakesRefusedTasksAgainOnceATaskHasEndedThere) {
+  tasks_.place_task(job_, 1, AttemptNumber(1), machine_, now_);
+  write_records();
+  const TaskKey second{task_.job, 1};
+  (void)reconciler_.on_heartbeat(
+      heartbeat(
+          {{.task = task_, .attempt = AttemptNumber(1), .state = TaskState::running},
+           {.task = second, .attempt = AttemptNumber(1), .state = TaskState::ended, .reason = EndReason::no_room}}),
+      now_);
+  EXPECT_TRUE(machine_.would_refuse(job_.task_resources, now_));
+  (void)reconciler_.on_heartbeat(
+      heartbeat({{.task = task_, .attempt = AttemptNumber(1), .state = TaskState::ended, .reason = EndReason::done}}),
+      now_);
+  EXPECT_FALSE(machine_.would_refuse(job_.task_resources, now_));
+}
+
 TEST_F(ReconcilerTest, KillsUnknownTask) {
   const TaskKey unknown{JobId("j-000009"), 0};
   const auto commands = reconciler_.on_heartbeat(
