Judge submissions and guarantees by exact amounts too

Users saw a gang that needs exactly its team's limit refused with 422, for ever, though it could run; a team's job that fits exactly into its guarantee was ranked among the work that borrows. Change: both use plan::ResourceAmounts, so that what is accepted is what placement allows.

--- a/src/control/scheduling_queue.cpp
+++ b/src/control/scheduling_queue.cpp
@@ -66,13 +66,13 @@
 // Sets Job::is_over_guarantee of a team's jobs: whether they exceed the team's guarantee. `team` is null for a team
 // that the settings do not define; such a team has no guarantee.
 void mark_borrowed(const std::vector<Job*>& jobs, const config::Team* team) {
-  double cpus = 0;
-  double gpus = 0;
+  const ResourceAmounts guarantee =
+      team == nullptr ? ResourceAmounts{} : ResourceAmounts::from(team->cpus, team->gpus, 0);
+  ResourceAmounts needed;
   for (Job* job : jobs) {
-    const double tasks = job->spec.tasks - job->done_count;
-    cpus += job->spec.cpus * tasks;
-    gpus += job->spec.gpus * tasks;
-    job->is_over_guarantee = team == nullptr || cpus > team->cpus || (team->gpus > 0 && gpus > team->gpus);
+    needed += job->task_resources.times(job->spec.tasks - job->done_count);
+    job->is_over_guarantee = team == nullptr || needed.values[0] > guarantee.values[0] ||
+                             (team->gpus > 0 && needed.values[1] > guarantee.values[1]);
   }
 }
 
--- a/src/user_api/request.cpp
+++ b/src/user_api/request.cpp
@@ -7,6 +7,7 @@
 
 #include "config/constants.h"
 #include "config/guards.h"
+#include "plan/planner.h"
 #include "state/job_records.h"
 #include "state/keys.h"
 
@@ -30,15 +31,17 @@
                                       const std::vector<wire::MachineType>& types) {
   const config::Team* team = settings.team(spec.team);
   if (team == nullptr) return "unknown team " + spec.team;
+  const plan::ResourceAmounts each = plan::ResourceAmounts::from(spec.cpus, spec.gpus, spec.ram_gb);
   const bool fits = std::ranges::any_of(types, [&](const wire::MachineType& type) {
     const bool named = spec.types.empty() || std::ranges::find(spec.types, type.name) != spec.types.end();
     const bool there = spec.zone.empty() || std::ranges::find(type.zones, spec.zone) != type.zones.end();
-    return named && there && spec.cpus <= type.cpus && spec.gpus <= type.gpus && spec.ram_gb <= type.ram_gb;
+    return named && there && each.fits_in(plan::ResourceAmounts::from(type.cpus, type.gpus, type.ram_gb));
   });
   if (!fits) return "a task fits no allowed machine type";
-  const double at_once = spec.kind == wire::JobKind::array ? 1 : spec.tasks;
-  if (team->cpus_max > 0 && spec.cpus * at_once > team->cpus_max) return "needs more CPUs than the team's limit";
-  if (team->gpus_max > 0 && spec.gpus * at_once > team->gpus_max) return "needs more GPUs than the team's limit";
+  const plan::ResourceAmounts needed = each.times(spec.kind == wire::JobKind::array ? 1 : spec.tasks);
+  const plan::ResourceAmounts limit = plan::ResourceAmounts::from(team->cpus_max, team->gpus_max, 0);
+  if (team->cpus_max > 0 && needed.values[0] > limit.values[0]) return "needs more CPUs than the team's limit";
+  if (team->gpus_max > 0 && needed.values[1] > limit.values[1]) return "needs more GPUs than the team's limit";
   return std::nullopt;
 }
 
--- a/tests/unit/scheduling_queue_test.cpp
+++ b/tests/unit/scheduling_queue_test.cpp
@@ -33,6 +33,17 @@
   EXPECT_FALSE(cluster_.jobs.at(JobId("j-000002")).is_over_guarantee);
 }
 
+// Guards against a sum of binary fractions: 20 tasks of 0.4 CPUs are not more than a guarantee of 8.
+TEST_F(SchedulingQueueTest, AJobOfExactlyTheGuaranteeIsWithinIt) {
+  for (int number = 0; number < 20; ++number) {
+    auto spec = spec_of("j-" + std::to_string(100'000 + number), 1);
+    spec.cpus = 0.4;
+    add_job(spec);
+  }
+  EXPECT_EQ(order().size(), 20U);
+  for (const auto& [id, job] : cluster_.jobs) EXPECT_FALSE(job.is_over_guarantee) << id.text();
+}
+
 TEST_F(SchedulingQueueTest, JobsOfEqualPriorityAreOrderedBySubmission) {
   add_job(spec_of("j-000002", 1));
   now_ += Millis(60'000);
--- a/tests/unit/user_api_test.cpp
+++ b/tests/unit/user_api_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "config/constants.h"
 #include "standins/state_store.h"
 #include "state/job_records.h"
@@ -146,6 +148,23 @@
   EXPECT_EQ(answered(spec), 422);
 }
 
+// Guards against a check of submissions that counts otherwise than the placement: a gang of exactly its team's limit was
+// refused for ever.
+TEST(UserApi, AGangOfExactlyItsTeamsLimitIsAccepted) {
+  config::Settings settings;
+  settings.teams = {{.name = "red", .cpus_max = 6.6}};
+  const std::vector<wire::MachineType> types{{.name = "plain", .cpus = 32, .ram_gb = 64, .zones = {"a"}}};
+  wire::JobSpec spec = job(6);
+  spec.kind = wire::JobKind::gang;
+  spec.cpus = 1.1;
+  EXPECT_EQ(never_runs(spec, settings, types), std::nullopt);
+  spec.tasks = 560;
+  settings.teams.front().cpus_max = 616;
+  EXPECT_EQ(never_runs(spec, settings, types), std::nullopt);
+  spec.cpus = std::nextafter(1.1, 2.0);
+  EXPECT_NE(never_runs(spec, settings, types), std::nullopt);
+}
+
 TEST(UserApi, MachineTypesAreReadIfTheyAreNotKnown) {
   Node node;
   const auto types = std::exchange(node.types, {});
