Clear a task only when no late copy of its start can be carried out

Cause: an agent ignores a repeated start only while it knows the attempt, and the leader let it forget an ended attempt as soon as the end was durable. An answer counts for 4 s after its report. Copies of older leaders' answers, of earlier sessions and copies that come later are refused by token, session and age; direct commands, which may be minutes late, carry only stops. Change: the leader clears an attempt no earlier than 4.1 s after its last answer with that start (inventory::SentStarts). The emulated world delivers copies of answers with its other late copies, and reports every attempt that a machine starts twice in one session. ControllerTest.ClearsATaskOnlyWhenItsOutcomeIsDurable lets 4.1 s pass after the start, as its task ended at the very moment of its start; what it checks, that no clear comes before the outcome is durable, is as before.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -149,6 +149,8 @@
 
 inline constexpr milliseconds kReplanInterval = 2s;      // pauses of jobs and supplies end without an event
 inline constexpr milliseconds kMinPassInterval = 100ms;  // between passes; what came meanwhile is planned at once
+// A copy of an answer may be carried out for so long after it was made: the agent's timeout, with room for drifting clocks.
+inline constexpr milliseconds kAnswerCopyLifetime = kHeartbeatTimeout + 100ms;
 inline constexpr milliseconds kHeartbeatSettleTimeout = 600ms;  // an answer awaits the writes that its report caused
 inline constexpr milliseconds kWriteCheckInterval = 2s;         // what wants writing is signalled; a safety net
 inline constexpr milliseconds kWriteBatchDelay = 15ms;          // gathers changes for one transaction
--- a/src/config/guards.h
+++ b/src/config/guards.h
@@ -59,6 +59,7 @@
   live_before_over,     // live/ is read before over/
   unclear_accept,       // a submission without an answer is looked up
   clear_settled,        // an end is cleared when it is durable
+  clear_after_copies,   // and when no copy of the start can be carried out any more
   quota_placed,         // all that is not proved gone counts for the team's limit
   place_known,          // no task beside one of which it is not known where it runs
   ready_term,           // a takeover reads its own term back
@@ -120,6 +121,7 @@
     Name{Guard::live_before_over, "live-before-over"},
     Name{Guard::unclear_accept, "unclear-accept"},
     Name{Guard::clear_settled, "clear-settled"},
+    Name{Guard::clear_after_copies, "clear-after-copies"},
     Name{Guard::quota_placed, "quota-placed"},
     Name{Guard::place_known, "place-known"},
     Name{Guard::ready_term, "ready-term"},
--- a/src/control/reconciler.cpp
+++ b/src/control/reconciler.cpp
@@ -28,7 +28,8 @@
   return {.kind = CommandKind::stop, .task = task, .attempt = attempt, .grace_s = grace_s};
 }
 
-Command start_command(const TaskKey& task, AttemptNumber attempt) {
+Command start_command(Machine& machine, const TaskKey& task, AttemptNumber attempt, Instant now) {
+  machine.sent_starts.add(task, attempt, now);
   return {.kind = CommandKind::run, .task = task, .attempt = attempt};
 }
 
@@ -36,6 +37,12 @@
   return {.kind = CommandKind::clear, .task = status.task, .attempt = status.attempt};
 }
 
+// Whether the agent may forget the ended task: its end is durable, and no copy of its start can be carried out any more.
+bool can_clear(const ClusterState& cluster, const Machine& machine, const wire::TaskStatus& status, Instant now) {
+  if (kept(Guard::clear_settled) && !cluster.jobs.is_record_current(status.task)) return false;
+  return !kept(Guard::clear_after_copies) || !machine.sent_starts.may_be_repeated(status.task, status.attempt, now);
+}
+
 // Whether the task ended after its image had been fetched.
 bool ended_with_image(const wire::TaskStatus& status, const Allocation& allocation) {
   const EndReason reason = status.reason;
@@ -48,6 +55,7 @@
 std::vector<Command> Reconciler::on_heartbeat(const wire::Heartbeat& heartbeat, Instant now) {
   if (!cluster_.machines.should_accept(heartbeat)) return {};
   Exchange exchange{.heartbeat = heartbeat, .machine = update_machine(heartbeat, now), .now = now};
+  exchange.machine.sent_starts.drop_expired(now);
   mark_tasks_of_earlier_incarnations_lost(exchange);
   process_task_statuses(exchange);
   std::vector<Command> starts = process_unreported_tasks(exchange);
@@ -100,10 +108,8 @@
       exchange.commands.push_back(stop_command(status.task, status.attempt, 0));
       continue;
     }
-    // The agent may forget an ended task only when the record of its end is durable.
-    if (!kept(Guard::clear_settled) || cluster_.jobs.is_record_current(status.task)) {
+    if (can_clear(cluster_, exchange.machine, status, exchange.now))
       exchange.commands.push_back(forget_command(status));
-    }
   }
   Machine& machine = exchange.machine;
   if (unknown_tasks && !machine.has_unknown_tasks)
@@ -274,7 +280,8 @@
       tasks_.end_gang_attempt(job);
       continue;
     }
-    if (tasks_.can_start(job, allocation, exchange.now)) starts.push_back(start_command(key, allocation.attempt));
+    if (tasks_.can_start(job, allocation, exchange.now))
+      starts.push_back(start_command(exchange.machine, key, allocation.attempt, exchange.now));
   }
   return starts;
 }
@@ -294,14 +301,14 @@
   std::vector<Command> commands;
   const auto entry = cluster_.machines.find(heartbeat.machine);
   if (entry == cluster_.machines.end()) return commands;
-  const Machine& machine = entry->second;
+  Machine& machine = entry->second;
   // A newer heartbeat of the machine has been processed meanwhile, so this one is outdated.
   if (!cluster_.machines.is_latest(heartbeat)) return commands;
   std::set<TaskKey> reported;
   for (const wire::TaskStatus& status : heartbeat.tasks) {
     reported.insert(status.task);
     if (status.state == TaskState::ended && cluster_.jobs.is_record_current(status.task)) {
-      commands.push_back(forget_command(status));
+      if (can_clear(cluster_, machine, status, now)) commands.push_back(forget_command(status));
       reported.erase(status.task);
     }
   }
@@ -311,7 +318,7 @@
     if (reported.contains(key) || allocation.incarnation != heartbeat.incarnation || allocation.reported_state)
       continue;
     if (tasks_.can_start(cluster_.jobs.at(key.job), allocation, now))
-      commands.push_back(start_command(key, allocation.attempt));
+      commands.push_back(start_command(machine, key, allocation.attempt, now));
   }
   return commands;
 }
--- a/src/inventory/machine_inventory.cpp
+++ b/src/inventory/machine_inventory.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "config/constants.h"
 #include "config/guards.h"
 
 namespace foxshunt::inventory {
@@ -12,6 +13,19 @@
 using guards::Guard;
 using guards::kept;
 
+void SentStarts::add(const TaskKey& task, AttemptNumber attempt, Instant now) {
+  repeated_until_[{task, attempt}] = now + constants::kAnswerCopyLifetime;
+}
+
+bool SentStarts::may_be_repeated(const TaskKey& task, AttemptNumber attempt, Instant now) const {
+  const auto sent = repeated_until_.find({task, attempt});
+  return sent != repeated_until_.end() && now <= sent->second;
+}
+
+void SentStarts::drop_expired(Instant now) {
+  std::erase_if(repeated_until_, [now](const auto& sent) { return now > sent.second; });
+}
+
 MachineInventory::FindOrAddResult MachineInventory::find_or_add(const MachineId& id, Instant now) {
   const auto [entry, is_new] = machines_.try_emplace(id);
   Machine& machine = entry->second;
--- a/src/inventory/machine_inventory.h
+++ b/src/inventory/machine_inventory.h
@@ -50,6 +50,21 @@
   std::set<TaskKey> keys_;
 };
 
+// The start commands of the latest answers to an agent, of which a copy may still be carried out. The agent ignores a
+// repeated start only until the ended task is cleared.
+class SentStarts {
+ public:
+  // Records that an answer made at `now` starts the task.
+  void add(const TaskKey& task, AttemptNumber attempt, Instant now);
+  // Whether a copy of the start may still reach the agent.
+  [[nodiscard]] bool may_be_repeated(const TaskKey& task, AttemptNumber attempt, Instant now) const;
+  // Drops the starts that can't be repeated any more.
+  void drop_expired(Instant now);
+
+ private:
+  std::map<std::pair<TaskKey, AttemptNumber>, Instant> repeated_until_;
+};
+
 // State of a machine according to the cloud provider's machine lists.
 struct CloudListing {
   bool running = false;  // the latest list shows the machine as booted
@@ -83,6 +98,7 @@
   MachineAllocations allocations;
   bool stopping = false;                      // some of the allocations may have to be stopped
   bool has_unknown_tasks = false;             // the latest heartbeat lists tasks that this leader did not place there
+  SentStarts sent_starts;                     // by this leader; the agent refuses copies of an older leader's
   std::optional<RefusedStart> refused_start;  // the latest one, until a task ends there
   std::set<std::string> images;
   int errors = 0;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -410,6 +410,11 @@
   [[nodiscard]] bool gave_up(const Rented& machine, Instant sent, std::size_t node) const;
   void hear_answer(Rented& machine, const std::optional<std::vector<wire::Command>>& commands, Term term,
                    AgentIncarnation incarnation, Instant sent, double jitter);
+  // Perhaps, if there are late copies: the answer reaches the agent a second time.
+  void copy_answer(const MachineId& id, const std::vector<wire::Command>& commands, Term term,
+                   AgentIncarnation incarnation, Instant sent);
+  void hear_copy(const MachineId& id, const std::vector<wire::Command>& commands, Term term,
+                 AgentIncarnation incarnation, Instant sent);
   MachineId add_machine(const std::string& type, const std::string& zone, bool spot, Millis boot);
   [[nodiscard]] std::vector<wire::MachineType> types() const;
   [[nodiscard]] std::vector<wire::ListedMachine> listing() const;
@@ -515,6 +520,8 @@
   std::set<TaskKey> done_;
   std::map<JobId, Instant> submitted_at_;
   std::map<JobId, Instant> first_start_;
+  std::set<std::tuple<TaskKey, AttemptNumber, MachineId, AgentIncarnation>> started_attempts_;
+  std::vector<std::string> started_again_;
   std::map<TaskKey, std::size_t> task_starts_;
   std::map<TaskKey, std::set<MachineId>> where_;
   std::vector<JobId> accepted_;
--- a/tests/standins/world_workers.cpp
+++ b/tests/standins/world_workers.cpp
@@ -192,7 +192,9 @@
     const auto hear = [this, id, commands, term, incarnation, sent, node, jitter] {
       Rented& waiting = machines_.at(id);
       if (is_held(waiting)) return false;
-      if (!gave_up(waiting, sent, node)) hear_answer(waiting, commands, term, incarnation, sent, jitter);
+      if (gave_up(waiting, sent, node)) return true;
+      hear_answer(waiting, commands, term, incarnation, sent, jitter);
+      if (commands) copy_answer(id, *commands, term, incarnation, sent);
       return true;
     };
     if (!hear()) repeat(kStep, hear);
@@ -229,6 +231,24 @@
   if (!commands->empty()) machine.next_heartbeat = now_ + Millis(500);
 }
 
+void World::copy_answer(const MachineId& id, const std::vector<wire::Command>& commands, Term term,
+                        AgentIncarnation incarnation, Instant sent) {
+  if (!late_copies_ || std::uniform_int_distribution<int>(0, 3)(copies_luck_) != 0) return;
+  const auto most = static_cast<int>(constants::kHeartbeatTimeout.count());
+  after(Millis(std::uniform_int_distribution<int>(0, most)(copies_luck_)),
+        [this, id, commands, term, incarnation, sent] { hear_copy(id, commands, term, incarnation, sent); });
+}
+
+// The agent has the answer already, and drops what comes later than 4 s after its report.
+void World::hear_copy(const MachineId& id, const std::vector<wire::Command>& commands, Term term,
+                      AgentIncarnation incarnation, Instant sent) {
+  Rented& machine = machines_.at(id);
+  if (machine.gone || !machine.worker->alive || machine.worker->hung) return;
+  if (now_ - sent > constants::kHeartbeatTimeout) return;
+  ++struck_["late_copies"];
+  machine.worker->answer(term, commands, incarnation, time_of(machine, sent), time_of(machine));
+}
+
 const wire::JobSpec* World::job(const JobId& id) {
   const auto found = submissions_.find(id);
   return found == submissions_.end() ? nullptr : &found->second.spec;
@@ -241,6 +261,9 @@
 void World::on_started(const TaskKey& task, AttemptNumber attempt, const MachineId& id) {
   served_.on_started(task, attempt, now_);
   const Rented& machine = machines_.at(id);
+  // An agent ignores the start of an attempt that it knows, so that this one had been cleared.
+  if (!started_attempts_.insert({task, attempt, id, machine.worker->incarnation()}).second)
+    started_again_.push_back("started_again: " + task.text() + " on " + id.text());
   first_start_.try_emplace(task.job, now_);
   ++task_starts_[task];
   where_[task].insert(id);
@@ -266,6 +289,7 @@
 std::vector<std::string> World::broken() const {
   std::vector<std::string> all = rules_.broken();
   all.insert(all.end(), history_.broken().begin(), history_.broken().end());
+  all.insert(all.end(), started_again_.begin(), started_again_.end());
   return all;
 }
 
--- a/tests/unit/controller_test.cpp
+++ b/tests/unit/controller_test.cpp
@@ -365,6 +365,7 @@
   controller_.plan_pass(now_);
   ASSERT_TRUE(write_records());
   (void)send_heartbeat(kFirst, 2, Term(7));
+  now_ += constants::kAnswerCopyLifetime + Millis(1);  // until then, tasks are not cleared because of late copies
   const std::vector<wire::TaskStatus> tasks{task_status(0, TaskState::ended, EndReason::done),
                                             task_status(1, TaskState::running, EndReason::none, 2)};
   EXPECT_FALSE(has_command(send_heartbeat(kFirst, 3, Term(7), tasks), CommandKind::clear));
