--- a/review/lab-2/rig.cpp
+++ b/review/lab-2/rig.cpp
@@ -137,12 +137,7 @@
     : deploy_(deploy), nodes_(std::move(nodes)), names_(std::move(names)), record_(record) {
   if (deploy_.types.empty()) deploy_.types = site_types();
   server_ = std::make_unique<net::HttpServer>(net::Address{"127.0.0.1", 0}, net::ServerLimits{.connections = 100},
-                                              [this](const HttpRequest& request) {
-                                                if (cloud_instead) {
-                                                  if (auto answer = cloud_instead(request)) return *answer;
-                                                }
-                                                return cloud(request);
-                                              });
+                                              [this](const HttpRequest& request) { return cloud(request); });
 }
 
 Platform::~Platform() {
@@ -189,14 +184,10 @@
                 on.begin()->text().c_str());
   }
   on.insert(machine);
-  const wire::JobSpec& spec = jobs_.at(task.job).first;
-  auto& [used, most] = use_[spec.team];
-  used += spec.cpus;
-  most = std::max(most, used);
 }
 
 void Platform::on_gone(const TaskKey& task, AttemptNumber attempt, const MachineId& machine, bool done) {
-  if (on_[task].erase(machine) > 0) use_[jobs_.at(task.job).first.team].first -= jobs_.at(task.job).first.cpus;
+  on_[task].erase(machine);
   for (auto stay = stays_.rbegin(); stay != stays_.rend(); ++stay) {
     if (stay->until || stay->task != task || stay->attempt != attempt || stay->machine != machine) continue;
     stay->until = now();
@@ -246,20 +237,6 @@
   return alive_count();
 }
 
-std::map<std::string, std::pair<double, double>> Platform::team_use() {
-  const std::lock_guard lock(mutex_);
-  return use_;
-}
-
-void Platform::hang(int third, bool hung) {
-  const std::lock_guard lock(mutex_);
-  for (auto& [id, machine] : machines_) {
-    if (!machine.worker) continue;
-    if (!hung) machine.worker->hung = false;
-    if (hung && id.text().back() % 3 == third) machine.worker->hung = true;
-  }
-}
-
 std::size_t Platform::alive_count() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(machines_, [](const auto& entry) { return !entry.second.gone; }));
@@ -359,7 +336,7 @@
 HttpResponse Platform::commands(const MachineId& id, const HttpRequest& request) {
   const std::lock_guard lock(mutex_);
   const auto found = machines_.find(id);
-  if (found == machines_.end() || found->second.gone || !found->second.up || found->second.worker->hung)
+  if (found == machines_.end() || found->second.gone || !found->second.up)
     return {.status = 503, .body = {}, .retry_after_s = {}};
   Machine& machine = found->second;
   if (request.path == "/show") return reply(200, wire::to_value(report_of(machine)));
@@ -410,7 +387,6 @@
         record_.say("machine %s: lease expired, session %llu begins", id.text().c_str(),
                     static_cast<unsigned long long>(machine.worker->incarnation().number()));
       }
-      if (machine.worker->hung) continue;
       if (machine.changed) next_report = std::min(next_report, std::max(now(), last_report + Millis(500)));
       if (now() < next_report) continue;
       machine.changed = false;
@@ -423,7 +399,6 @@
     auto answer = client->call({.method = "POST", .path = "/checkin", .body = wire::encode(body)},
                                net::Clock::now() + Millis(4000));
     next_report = now() + control::from_seconds(deploy_.report_s);
-    if (answer && between && !between(report, *answer)) answer.reset();
     if (!answer || answer->status != 200) {
       std::optional<std::size_t> named;
       if (answer && answer->status == 421 && !answer->body.empty()) {
@@ -453,7 +428,6 @@
     const std::lock_guard lock(mutex_);
     const auto found = machines_.find(id);
     if (found == machines_.end() || found->second.gone) return;
-    if (found->second.worker->hung) continue;  // given up by the time it goes on
     found->second.worker->advance(now());
     found->second.worker->answer(Term(told.count("alpha")), orders, report.incarnation, sent, now());
     if (!orders.empty()) found->second.changed = true;
--- a/review/lab-2/rig.h
+++ b/review/lab-2/rig.h
@@ -100,17 +100,8 @@
   std::size_t refused_reports() const { return refused_reports_; }
   std::size_t expired_sessions();
   std::size_t machines_up();
-  // Machines whose name's last digit leaves this rest by three stand still; none that stands still stays so otherwise.
-  void hang(int third, bool hung);
-  // Judges each answer to a report before the worker sees it; false: lost.
-  std::function<bool(const wire::Heartbeat&, const net::HttpResponse&)> between;
-  // Judges each request of a node to the cloud; an answer is given instead.
-  std::function<std::optional<net::HttpResponse>(const net::HttpRequest&)> cloud_instead;
-  std::recursive_mutex& mutex() { return mutex_; }
   // The cloud rents no more at a time.
   std::size_t most_machines = 60;
-  // What a team's tasks use now, and the most they used: CPUs.
-  std::map<std::string, std::pair<double, double>> team_use();
 
   const wire::JobSpec* job(const JobId& id) override;
   Millis run_left(const TaskKey& task) override;
@@ -151,7 +142,6 @@
   std::map<TaskKey, Millis> progress_;
   std::map<TaskKey, std::set<MachineId>> on_;
   std::vector<Stay> stays_;
-  std::map<std::string, std::pair<double, double>> use_;
   int ran_twice_ = 0;
   std::atomic<std::size_t> longest_report_{0}, longest_answer_{0}, refused_reports_{0}, returned_{0};
   std::unique_ptr<net::HttpServer> server_;
