Inventory: a machine that the cloud has deleted is forgotten, and no zone waits for it

Cause: the leader before had returned the zone's idle machines. The list, which lags, still showed them to its successor. They were never heard, so that the zone counted as cut off, where nothing is rented and silent machines are kept. No list ever took a machine out of the inventory again, unless a record or a hint alone had named it.

Change: a machine stays listed until it is gone, and a list describes a time at most twice list_lag_s before its request. A list that is newer than a machine's creation and does not contain it proves the deletion. Such a machine is forgotten if it never reported, doesn't count as missing from its zone and isn't kept for it. While tasks on it are not confirmed terminated it counts as before. As all that plans, counts and rents reads the inventory, machines that are gone are no capacity there either.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -186,6 +186,8 @@
 inline constexpr milliseconds kCloudCallTimeout = 5s;       // rentals take a fraction of a second
 inline constexpr milliseconds kCloudCheckInterval = 500ms;  // between tries while something is wanted of the cloud
 inline constexpr milliseconds kCloudListInterval = 4s;      // the list lags by more than this anyway
+inline constexpr double kMaxCloudListDelayFactor = 2;       // times `list_lag_s`: PROTOCOL's bound of the lag
+inline constexpr milliseconds kCloudListDelayMargin = 4s;   // of the lag, as clocks drift
 inline constexpr milliseconds kMachineTypesInterval = 60s;  // spot prices move slowly
 inline constexpr milliseconds kCloudRetryBackoff = 2s;      // after a 503 or no answer
 
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -136,7 +136,8 @@
   // ---- cloud ----
   void on_machine_types(const std::vector<wire::MachineType>& types);
   [[nodiscard]] const std::vector<wire::MachineType>& machine_types() const { return cluster_.machine_types; }
-  void on_machine_list(const std::vector<wire::ListedMachine>& machines, Instant now);
+  // Applies a complete machine list, which was requested at `requested` and is here now.
+  void on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant requested, Instant now);
   [[nodiscard]] std::optional<wire::ScaleOutRequest> next_scale_out(Instant now);
   void on_scaled_out(const wire::ScaleOutRequest& request, const std::vector<MachineId>& machines, Instant now);
   void on_scale_out_refused(const wire::ScaleOutRequest& request, Instant now);
--- a/src/control/controller_fleet.cpp
+++ b/src/control/controller_fleet.cpp
@@ -6,6 +6,7 @@
 #include "config/constants.h"
 #include "control/controller.h"
 #include "control/machine_housekeeper.h"
+#include "control/times.h"
 
 namespace foxshunt::control {
 
@@ -30,8 +31,9 @@
   cluster_.needs_planning = true;
 }
 
-void Controller::on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant now) {
+void Controller::on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant requested, Instant now) {
   if (!leadership_.is_leader()) return;
+  cluster_.machines.mark_deleted(listed, requested - max_cloud_list_delay(cluster_.settings));
   for (const wire::ListedMachine& entry : listed) {
     const auto known = cluster_.machines.apply_listing(entry, cluster_.boot_duration(entry.type), now);
     if (!known) continue;  // the entry is from an outdated list
--- a/src/control/machine_housekeeper.cpp
+++ b/src/control/machine_housekeeper.cpp
@@ -17,7 +17,12 @@
     if (result == ReviewResult::deleted) deleted.push_back(id);
     if (result == ReviewResult::active) review_idle(machine, now);
   }
-  for (const MachineId& id : deleted) cluster_.forget_machine(id);
+  for (const MachineId& id : deleted) {
+    const Machine& machine = cluster_.machines.at(id);
+    spdlog::info("machine_forgotten machine={} zone={} reason=\"never heard, and not listed any more\"", id.text(),
+                 machine.zone);
+    cluster_.forget_machine(id);
+  }
 }
 
 MachineHousekeeper::ReviewResult MachineHousekeeper::review(Machine& machine, Instant now) {
@@ -81,16 +86,19 @@
 }
 
 bool MachineHousekeeper::is_deleted(const Machine& machine, Instant now) const {
+  if (machine.has_reported || machine.state == MachineState::returning) return false;
+  if (machine.listed.deleted) return true;
   // A machine without a known type was only named by a record, one with a hinted state only by a standby controller's
   // hint. If it neither reports nor is listed, it does not exist any more: it may have been returned since.
   const Millis unlisted_timeout =
       from_seconds(cluster_.settings.cloud_list_delay_s * 3) + constants::kCloudListInterval * 4;
   const bool only_hinted = machine.type.empty() || machine.peer_hint != inventory::PeerHint::none;
-  return !machine.has_reported && only_hinted && now - machine.listed.last > unlisted_timeout;
+  return only_hinted && now - machine.listed.last > unlisted_timeout;
 }
 
 bool MachineHousekeeper::is_zone_return_awaited(const Machine& machine, Instant now) const {
-  return cluster_.settings.operators.zone_watch && cluster_.zone_health.retains_silent_machines(machine.zone, now);
+  return cluster_.settings.operators.zone_watch && !machine.listed.deleted &&
+         cluster_.zone_health.retains_silent_machines(machine.zone, now);
 }
 
 void MachineHousekeeper::review_idle(Machine& machine, Instant now) {
--- a/src/control/machine_housekeeper.h
+++ b/src/control/machine_housekeeper.h
@@ -43,7 +43,7 @@
   void expire_tasks_of_unreported_machine(Machine& machine, Instant now);
   // Whether the machine is booting for so long that it is assumed never to come up.
   [[nodiscard]] bool is_boot_lost(const Machine& machine, Instant now) const;
-  // Whether the machine is neither listed by the cloud nor heard from.
+  // Whether the machine does not exist any more: it was never heard from, and the cloud does not list it any more.
   [[nodiscard]] bool is_deleted(const Machine& machine, Instant now) const;
   // Whether the machine's zone is unreachable and its machines are kept until it returns.
   [[nodiscard]] bool is_zone_return_awaited(const Machine& machine, Instant now) const;
--- a/src/control/times.h
+++ b/src/control/times.h
@@ -39,6 +39,12 @@
          from_seconds(settings.heartbeat_interval_s * 1.25);
 }
 
+// A list of the cloud describes a time no earlier than this before the list was requested.
+inline plan::Millis max_cloud_list_delay(const config::Settings& settings) {
+  return from_seconds(settings.cloud_list_delay_s * constants::kMaxCloudListDelayFactor) +
+         constants::kCloudListDelayMargin;
+}
+
 // A delegation of the right to renew a zone's agent leases lasts for the fencing timeout by the holder's clock. The
 // leader counts it as longer, because the two clocks may drift apart meanwhile.
 inline zone::DelegationTimeouts delegation_spans(const config::Settings& settings) {
--- a/src/control/zone_coordinator.cpp
+++ b/src/control/zone_coordinator.cpp
@@ -67,20 +67,32 @@
 
 // ---- zone health ----
 
+ZoneCoordinator::Presence ZoneCoordinator::presence_of(const Machine& machine, Instant now) const {
+  if (machine.state == MachineState::returning || machine.listed.failed) return Presence::not_expected;
+  // The silence of a machine that the cloud has deleted tells nothing about its zone.
+  if (machine.listed.deleted && machine.allocations.empty()) return Presence::not_expected;
+  if (machine.expired) return Presence::ended;
+  const bool is_silent = cluster_.machines.is_silent(machine, now);
+  if (machine.has_reported) return is_silent ? Presence::silent : Presence::heard;
+  // A machine that has not reported to this leader may still boot, unless the cloud or a record says that it was up.
+  const bool was_up = machine.listed.running || !machine.allocations.empty();
+  return was_up && is_silent ? Presence::silent : Presence::not_expected;
+}
+
 std::map<std::string, zone::ZoneObservation> ZoneCoordinator::collect_zone_observations(Instant now) const {
   std::map<std::string, zone::ZoneObservation> seen;
   for (const std::string& name : cluster_.settings.zones) seen[name];
   for (const auto& [unused, machine] : cluster_.machines) {
-    if (machine.zone.empty() || machine.state == MachineState::returning || machine.listed.failed) continue;
+    if (machine.zone.empty()) continue;
     zone::ZoneObservation& zone = seen[machine.zone];
-    if (machine.has_reported && !machine.expired && !cluster_.machines.is_silent(machine, now)) {
-      ++zone.heard;
-    } else if (machine.expired) {
-      ++zone.ended;
-    } else if (machine.has_reported || ((machine.listed.running || !machine.allocations.empty()) &&
-                                        cluster_.machines.is_silent(machine, now))) {
-      ++zone.silent;
-      zone.tasks += machine.allocations.size();
+    switch (presence_of(machine, now)) {
+      case Presence::not_expected: break;
+      case Presence::heard: ++zone.heard; break;
+      case Presence::ended: ++zone.ended; break;
+      case Presence::silent:
+        ++zone.silent;
+        zone.tasks += machine.allocations.size();
+        break;
     }
   }
   for (auto& [name, zone] : seen) {
--- a/src/control/zone_coordinator.h
+++ b/src/control/zone_coordinator.h
@@ -6,6 +6,7 @@
 // terminated. Constructed for a single call and not kept. No I/O; not thread-safe.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -39,6 +40,14 @@
   [[nodiscard]] std::vector<MachineId> machines_excluded_from_delegation(const std::string& zone, Instant now) const;
   // Whether the machine has tasks that only a command of the leader stops.
   [[nodiscard]] bool has_tasks_to_stop(const Machine& machine) const;
+  // What a machine tells about the reachability of its zone.
+  enum class Presence : std::uint8_t {
+    not_expected,  // nothing: no heartbeat of it is due
+    heard,         // it sends heartbeats
+    silent,        // its heartbeats are overdue, and it may still run tasks
+    ended,         // its heartbeats are overdue, and its lease has certainly ended
+  };
+  [[nodiscard]] Presence presence_of(const Machine& machine, Instant now) const;
   // Counts the machines of each zone by state, and says when each zone's controller was last heard.
   [[nodiscard]] std::map<std::string, zone::ZoneObservation> collect_zone_observations(Instant now) const;
 
--- a/src/inventory/machine_inventory.cpp
+++ b/src/inventory/machine_inventory.cpp
@@ -35,6 +35,7 @@
     machine.first_seen = now;
     machine.ready = now;
     machine.listed.last = now;
+    machine.listed.created_by = now;
   }
   return {.machine = machine, .is_new = is_new};
 }
@@ -73,6 +74,7 @@
   machine.sequence = heartbeat.sequence;
   machine.last_heartbeat = now;
   machine.has_seen_term = heartbeat.term == term;
+  machine.listed.deleted = false;
   machine.expired = false;
   return was_booting;
 }
@@ -83,7 +85,11 @@
   const FindOrAddResult known = find_or_add(entry.id, now);
   Machine& machine = known.machine;
   machine.listed.running = entry.state == wire::ListedState::running;
+  machine.listed.deleted = false;
   machine.listed.last = now;
+  // The age is as of the time that the list describes, which is not later than now.
+  const Instant created_by = now - std::chrono::floor<Millis>(std::chrono::duration<double>(entry.age_s));
+  machine.listed.created_by = std::min(machine.listed.created_by, created_by);
   if (machine.type.empty() || machine.peer_hint != PeerHint::none) {
     machine.peer_hint = PeerHint::none;
     machine.type = entry.type;
@@ -100,6 +106,14 @@
   return known;
 }
 
+void MachineInventory::mark_deleted(const std::vector<wire::ListedMachine>& listing, Instant as_of) {
+  std::set<MachineId> listed;
+  for (const wire::ListedMachine& entry : listing) listed.insert(entry.id);
+  for (auto& [id, machine] : machines_) {
+    if (machine.listed.created_by < as_of && !listed.contains(id)) machine.listed.deleted = true;
+  }
+}
+
 bool MachineInventory::remove(const MachineId& id) {
   const auto known = machines_.find(id);
   if (known == machines_.end()) return true;
--- a/src/inventory/machine_inventory.h
+++ b/src/inventory/machine_inventory.h
@@ -69,7 +69,9 @@
 struct CloudListing {
   bool running = false;  // the latest list shows the machine as booted
   bool failed = false;
-  Instant last;  // when a list last contained the machine; initially when it was added
+  bool deleted = false;  // a list that describes a time after the machine's creation does not contain it
+  Instant last;          // when a list last contained the machine; initially when it was added
+  Instant created_by;    // the machine was created at this time or before
 };
 
 // A start that the machine's agent refused because too few resources were free. The agent has the last word on that,
@@ -161,6 +163,9 @@
   // Applies an entry of a cloud listing. Returns nullopt for a machine whose return has been confirmed: the list is
   // outdated. `boot` is the boot duration of the machine type.
   std::optional<FindOrAddResult> apply_listing(const wire::ListedMachine& entry, Millis boot, Instant now);
+  // Marks the machines that a complete listing proves to be deleted: it does not contain them, and describes a time no
+  // earlier than `as_of`, when they had been created. A later heartbeat or list entry takes the mark back.
+  void mark_deleted(const std::vector<wire::ListedMachine>& listing, Instant as_of);
   // Records that the cloud has confirmed the return of the machine. Later heartbeats and list entries for it are
   // outdated and are rejected.
   void on_scaled_in(const MachineId& id) { returned_ids_.insert(id); }
--- a/src/node/cloud_loop.cpp
+++ b/src/node/cloud_loop.cpp
@@ -87,6 +87,7 @@
 }
 
 void CloudLoop::list() {
+  const plan::Instant requested = now();
   std::vector<wire::ListedMachine> machines;
   std::string from;
   while (true) {
@@ -106,7 +107,7 @@
   }
   next_list_ = net::Clock::now() + constants::kCloudListInterval;
   const std::lock_guard lock(context_.control_state.mutex.handle(LockPriority::cloud));
-  context_.control_state.controller.on_machine_list(machines, now());
+  context_.control_state.controller.on_machine_list(machines, requested, now());
 }
 
 void CloudLoop::rent() {
--- a/src/zone/zone_health.cpp
+++ b/src/zone/zone_health.cpp
@@ -44,11 +44,10 @@
   return seen.heard == 0 && is_unreachable(seen) ? away_state(seen) : ZoneState::doubtful;
 }
 
-ZoneState next_state_if_away(ZoneState state, const ZoneObservation& seen, Millis in_state) {
+ZoneState next_state_if_away(ZoneState state, const ZoneObservation& seen) {
   if (seen.heard > 0 || (seen.sibling && !is_unreachable(seen))) return ZoneState::returning;
-  // No machine is left whose heartbeat could show the return of the zone, so the scheduler may rent there again to try
-  // it.
-  if (expected_machines(seen) == 0 && in_state > constants::kZoneMachineRetention) return ZoneState::whole;
+  // No machine is missing that would show that the zone is unreachable, and none is left to show its return.
+  if (expected_machines(seen) == 0) return ZoneState::whole;
   return state == ZoneState::lost ? ZoneState::lost : away_state(seen);
 }
 
@@ -68,7 +67,7 @@
     case ZoneState::whole: return has_many_missing(seen) ? ZoneState::doubtful : ZoneState::whole;
     case ZoneState::doubtful: return next_state_if_doubtful(seen);
     case ZoneState::cut:
-    case ZoneState::lost: return next_state_if_away(zone.state, seen, now - zone.since);
+    case ZoneState::lost: return next_state_if_away(zone.state, seen);
     case ZoneState::returning: return next_state_if_returning(seen, now - zone.since, zone.settle_interval);
   }
   return zone.state;
--- a/tests/standins/world_cloud.cpp
+++ b/tests/standins/world_cloud.cpp
@@ -153,8 +153,9 @@
     self.next_list = now_ + constants::kCloudListInterval;
     const std::vector<wire::ListedMachine> listed = listing();
     record_listing(node, listed);
-    return answer_after(
-        [listed](control::Controller& controller, Instant at) { controller.on_machine_list(listed, at); });
+    return answer_after([listed, requested = time_of(node)](control::Controller& controller, Instant at) {
+      controller.on_machine_list(listed, requested, at);
+    });
   }
 }
 
--- a/tests/unit/cluster_fixture.h
+++ b/tests/unit/cluster_fixture.h
@@ -70,6 +70,19 @@
     return machine;
   }
 
+  // Adds a machine that the cloud lists as running for a minute and that has not reported to this leader.
+  Machine& add_listed_machine(const std::string& id, const std::string& zone = "a", const std::string& type = "plain") {
+    const wire::ListedMachine entry{.id = MachineId(id),
+                                    .address = "127.0.0.1:2",
+                                    .type = type,
+                                    .zone = zone,
+                                    .state = wire::ListedState::running,
+                                    .age_s = 60};
+    Machine& machine = cluster_.machines.apply_listing(entry, Millis(0), now_)->machine;
+    cluster_.update_planner_machine(machine);
+    return machine;
+  }
+
   jobs::Allocation& place(Job& job, std::uint32_t index, Machine& machine) {
     return cluster_.jobs.place_task(job, index, AttemptNumber(1), machine, now_);
   }
--- a/tests/unit/machine_housekeeper_test.cpp
+++ b/tests/unit/machine_housekeeper_test.cpp
@@ -69,5 +69,28 @@
   EXPECT_FALSE(cluster_.machines.contains(MachineId("m-000002")));
 }
 
+// Guards against machines that count for ever after the cloud has deleted them, known from an outdated list alone.
+TEST_F(MachineHousekeeperTest, ForgetsADeletedMachineThatNeverReported) {
+  Machine& deleted = add_listed_machine("m-000002");
+  deleted.listed.deleted = true;
+  housekeeper_.review_machines(now_);
+  EXPECT_FALSE(cluster_.machines.contains(MachineId("m-000002")));
+}
+
+TEST_F(MachineHousekeeperTest, KeepsADeletedMachineWhileItsTasksMayRun) {
+  Machine& deleted = add_listed_machine("m-000002");
+  deleted.listed.deleted = true;
+  place(add_job(spec_of("j-000001", 1)), 0, deleted);
+  cluster_.older_leaders_until = now_ + Millis(5'000);
+  advance_time(Millis(5'000) + agent_lease_timeout(cluster_.settings));
+  housekeeper_.review_machines(now_);
+  EXPECT_TRUE(cluster_.machines.contains(MachineId("m-000002")));
+  EXPECT_EQ(cluster_.jobs.at(JobId("j-000001")).allocation_count, 1U);
+  advance_time(Millis(1));
+  housekeeper_.review_machines(now_);
+  EXPECT_EQ(cluster_.jobs.at(JobId("j-000001")).allocation_count, 0U);
+  EXPECT_FALSE(cluster_.machines.contains(MachineId("m-000002")));
+}
+
 }  // namespace
 }  // namespace foxshunt::control
--- a/tests/unit/machine_inventory_test.cpp
+++ b/tests/unit/machine_inventory_test.cpp
@@ -85,6 +85,30 @@
   EXPECT_TRUE(relisted->machine.listed.running);
 }
 
+// Guards against machines that count for ever after the cloud has deleted them, known from an outdated list alone.
+TEST_F(MachineInventoryTest, AListNewerThanAMachineProvesItsDeletion) {
+  const Instant created_by = now_ - Millis(4'000);  // by the age that the list gives
+  const Machine& machine = machines_.apply_listing(make_listed_machine(kFirst), Millis(0), now_)->machine;
+  machines_.mark_deleted({make_listed_machine(kFirst)}, now_ + Millis(1));
+  EXPECT_FALSE(machine.listed.deleted) << "it is listed";
+  machines_.mark_deleted({}, created_by);
+  EXPECT_FALSE(machine.listed.deleted) << "the list may be older than the machine";
+  machines_.mark_deleted({}, created_by + Millis(1));
+  EXPECT_TRUE(machine.listed.deleted);
+  machines_.apply_listing(make_listed_machine(kFirst), Millis(0), now_);
+  EXPECT_FALSE(machine.listed.deleted) << "it is listed again";
+}
+
+TEST_F(MachineInventoryTest, AMachineKnownFromItsRentalWasCreatedByThen) {
+  const Machine& machine = machines_.find_or_add(kFirst, now_).machine;
+  machines_.mark_deleted({}, now_);
+  EXPECT_FALSE(machine.listed.deleted);
+  machines_.mark_deleted({}, now_ + Millis(1));
+  EXPECT_TRUE(machine.listed.deleted);
+  report(make_heartbeat(kFirst, 1, 1, kTerm));
+  EXPECT_FALSE(machine.listed.deleted) << "it reports";
+}
+
 TEST_F(MachineInventoryTest, SilentMachinesAcceptNoTasks) {
   report(make_heartbeat(kFirst, 1, 1, kTerm));
   Machine& machine = machines_.at(kFirst);
--- a/tests/unit/zone_view_test.cpp
+++ b/tests/unit/zone_view_test.cpp
@@ -79,6 +79,15 @@
   EXPECT_EQ(zone.monitor().state_of("none"), ZoneState::whole);
 }
 
+// Guards against a zone that stays cut off, and gets no machines, after all machines that were missing turn out deleted.
+TEST(ZoneHealthMonitorTest, ZoneIsWholeOnceNoMachineIsMissing) {
+  SimulatedZone zone;
+  zone.observe({.silent = 4}, Millis(10'000));
+  ASSERT_EQ(zone.state(), ZoneState::cut);
+  zone.observe({});
+  EXPECT_EQ(zone.state(), ZoneState::whole);
+}
+
 TEST(ZoneHealthMonitorTest, ReturningZoneHasASettlingInterval) {
   SimulatedZone zone;
   zone.observe(kSilent, Millis(2000));
