Zones: the leases of machines that never reported to this leader end too

Cause: a zone that is cut off becomes lost once the leases of all its silent machines have certainly ended. For machines that a successor knows from the cloud's list alone this was never looked at. If they exist and hang for good, the zone stayed cut off, and was kept for machines that are never heard.

Evidence: zone-listed-machines-hang before: state="cut off" silent=4, no further change in 180 s.

Change: such a machine counts as ended when no leader and no delegate can have renewed its lease. While its lease may last it counts as silent, as before.

Measured: zone-listed-machines-hang and ZoneCoordinatorTest.UnreportedMachinesAreLostOnceTheirLeasesHaveEnded pass; the scenario failed before.

--- a/src/control/zone_coordinator.cpp
+++ b/src/control/zone_coordinator.cpp
@@ -76,7 +76,8 @@
   if (machine.has_reported) return is_silent ? Presence::silent : Presence::heard;
   // A machine that has not reported to this leader may still boot, unless the cloud or a record says that it was up.
   const bool was_up = machine.listed.running || !machine.allocations.empty();
-  return was_up && is_silent ? Presence::silent : Presence::not_expected;
+  if (!was_up || !is_silent) return Presence::not_expected;
+  return cluster_.is_lease_expired(machine, now) ? Presence::ended : Presence::silent;
 }
 
 std::map<std::string, zone::ZoneObservation> ZoneCoordinator::collect_zone_observations(Instant now) const {
--- a/tests/unit/zone_coordinator_test.cpp
+++ b/tests/unit/zone_coordinator_test.cpp
@@ -46,5 +46,16 @@
   EXPECT_EQ(seen().tasks, 1U);
 }
 
+// Guards against a zone that stays cut off for machines that exist, hang and have never reported to this leader.
+TEST_F(ZoneCoordinatorTest, UnreportedMachinesAreLostOnceTheirLeasesHaveEnded) {
+  cluster_.older_leaders_until = now_ + Millis(30'000);
+  now_ = cluster_.older_leaders_until + agent_lease_timeout(cluster_.settings);
+  EXPECT_EQ(observe(), zone::ZoneState::cut);
+  EXPECT_EQ(seen().silent, 4U);
+  now_ += Millis(1);
+  EXPECT_EQ(observe(), zone::ZoneState::lost);
+  EXPECT_EQ(seen().ended, 4U);
+}
+
 }  // namespace
 }  // namespace foxshunt::control
