Zones: a zone doesn't stay `returning` for machines that have failed

Cause: a zone that returns gets no tasks and keeps its silent machines until half of all are heard or few are missing. When most of them have failed for good neither comes about: the state waits for machines that are kept because of the state.

Evidence: zone-back-with-machines-missing before: state=returning heard=1 expired=5, no further change, two free machines, and the job not started 88 s later.

Change: 30 s after its return, or after a longer settling time, such a zone becomes doubtful. Machines that are heard get tasks, those that are missing are returned, and then the zone is whole.

--- a/src/config/constants.h
+++ b/src/config/constants.h
@@ -93,6 +93,7 @@
 inline constexpr double kZoneDoubtfulShare = 0.5;            // share of a zone's machines silent at once: not chance
 inline constexpr double kZoneRecoveredShare = 0.5;           // share heard again before a zone is taken as whole
 inline constexpr milliseconds kZoneSettleInterval = 5s;      // a zone that is back is trusted after this
+inline constexpr milliseconds kZoneRecoveryTimeout = 30s;    // a machine not heard by then has failed by itself
 inline constexpr milliseconds kMaxZoneSettleInterval = 80s;  // doubled by each loss soon after, up to this
 inline constexpr milliseconds kZoneSteadyInterval = 120s;    // whole for so long, a zone's settling time is halved
 inline constexpr milliseconds kZoneMachineRetention =
--- a/src/zone/zone_health.cpp
+++ b/src/zone/zone_health.cpp
@@ -57,7 +57,9 @@
   if (in_state < settle_interval) return ZoneState::returning;
   const bool is_back =
       static_cast<double>(seen.heard) >= constants::kZoneRecoveredShare * static_cast<double>(expected_machines(seen));
-  return is_back || !many_missing ? ZoneState::whole : ZoneState::returning;
+  if (is_back || !many_missing) return ZoneState::whole;
+  // The zone is reachable again, and machines are missing all the same: they have failed and are not waited for.
+  return in_state < constants::kZoneRecoveryTimeout ? ZoneState::returning : ZoneState::doubtful;
 }
 
 }  // namespace
--- a/tests/unit/zone_view_test.cpp
+++ b/tests/unit/zone_view_test.cpp
@@ -88,6 +88,22 @@
   EXPECT_EQ(zone.state(), ZoneState::whole);
 }
 
+// Guards against a zone that stays `returning`, and gets neither machines nor tasks, as most of its machines have failed.
+TEST(ZoneHealthMonitorTest, ZoneDoesNotStayReturningForFailedMachines) {
+  const ZoneObservation partly_back{.heard = 2, .ended = 4, .sibling = true, .sibling_silent = Millis(500)};
+  SimulatedZone zone;
+  zone.observe(kSilent, Millis(20'000));
+  zone.observe(partly_back, constants::kZoneRecoveryTimeout);
+  ASSERT_EQ(zone.state(), ZoneState::returning);
+  EXPECT_TRUE(zone.monitor().retains_silent_machines("b", zone.now()));
+  zone.observe(partly_back, kUpdateInterval * 2);
+  EXPECT_EQ(zone.state(), ZoneState::doubtful);
+  EXPECT_TRUE(zone.monitor().accepts_tasks("b"));
+  EXPECT_FALSE(zone.monitor().retains_silent_machines("b", zone.now()));
+  zone.observe({.heard = 2, .sibling = true, .sibling_silent = Millis(500)});
+  EXPECT_EQ(zone.state(), ZoneState::whole);
+}
+
 TEST(ZoneHealthMonitorTest, ReturningZoneHasASettlingInterval) {
   SimulatedZone zone;
   zone.observe(kSilent, Millis(2000));
