Autoscaler: machines that boot in a zone which is cut off are no spare capacity

What operators would have seen: a new leader keeps too small a reserve for urgent classes, and lends GPUs' room to other work, while a zone is cut off.

Cause: planning leaves out machines that boot in a zone where nothing may be rented, but the reserve and the count of unclaimed GPUs took each booting machine for capacity. To a new leader all machines of such a zone are booting: it knows them from the list alone.

Change: one predicate, ClusterState::is_plannable, says for all three whether a machine is capacity.

Measured: AutoscalerTest.ListedMachinesOfAZoneThatIsCutOffAreNoCapacity passes, and failed without the change of autoscaler.cpp: 6 GPUs instead of none.

--- a/src/control/autoscaler.cpp
+++ b/src/control/autoscaler.cpp
@@ -25,9 +25,7 @@
   }
   plan::AmountUnits available = 0;
   for (const auto& [unused, machine] : cluster.machines) {
-    if (machine.plan_node == nullptr ||
-        (machine.state != MachineState::booting && !cluster.is_schedulable(machine, now)))
-      continue;
+    if (machine.plan_node == nullptr || !cluster.is_plannable(machine, now)) continue;
     available += machine.plan_node->spec.capacity.values[1];
   }
   demand_.record_gpu_counts(wanted, available, now);
@@ -43,7 +41,7 @@
   const ResourceAmounts each = task_amounts(spec);
   std::vector<Spare> candidates;
   for (const auto& [id, machine] : cluster.machines) {
-    if (machine.state != MachineState::booting && !cluster.is_schedulable(machine, now)) continue;
+    if (!cluster.is_plannable(machine, now)) continue;
     const wire::MachineType* type = cluster.find_machine_type(machine.type);
     if (type == nullptr || machine.plan_node == nullptr ||
         !is_machine_allowed(spec, machine.type, machine.zone, machine.spot))
--- a/src/control/autoscaler.h
+++ b/src/control/autoscaler.h
@@ -39,7 +39,7 @@
   [[nodiscard]] bool is_spare(const MachineId& machine) const { return spare_machines_.contains(machine); }
 
   // Reports to the demand estimator how many GPUs the unfinished tasks of all jobs need, and how many GPUs the
-  // schedulable and the booting machines have.
+  // machines have on which tasks can be planned.
   void record_gpu_demand(const ClusterState& cluster, Instant now);
   // Computes which machines to rent and replaces the previous result. `queue`: the waiting jobs in planning order.
   void size_fleet(const ClusterState& cluster, const std::vector<Job*>& queue, const DeadlinePlanner& deadlines,
--- a/src/control/cluster_state.cpp
+++ b/src/control/cluster_state.cpp
@@ -77,6 +77,10 @@
          zone_health.accepts_tasks(machine.zone);
 }
 
+bool ClusterState::is_plannable(const Machine& machine, Instant now) const {
+  return machine.state == MachineState::booting ? can_rent_in_zone(machine.zone) : is_schedulable(machine, now);
+}
+
 Instant ClusterState::lease_end(const Machine& machine) const {
   return machines.lease_end(machine, older_leaders_until, delegated_until(delegations, machine));
 }
--- a/src/control/cluster_state.h
+++ b/src/control/cluster_state.h
@@ -55,6 +55,9 @@
   // Returns whether tasks can be placed on the machine now: the machine is usable, its zone is in service, and the zone
   // health monitor allows work there.
   [[nodiscard]] bool is_schedulable(const Machine& machine, Instant now) const;
+  // Returns whether tasks can be planned on the machine: it is schedulable, or it boots in a zone where machines may be
+  // rented.
+  [[nodiscard]] bool is_plannable(const Machine& machine, Instant now) const;
   // Returns the latest time until which the machine's tasks may keep running if it sends no more heartbeats.
   [[nodiscard]] Instant lease_end(const Machine& machine) const;
   // Returns whether the machine's lease has certainly expired. This may be known before lease_end().
--- a/src/control/machine_filter.cpp
+++ b/src/control/machine_filter.cpp
@@ -47,9 +47,7 @@
 bool MachineFilter::is_machine_eligible(const Job& job, const Machine& machine, Instant now) const {
   if (machine.plan_node == nullptr || (machine.spot && !job.spec.spot)) return false;
   if (machine.would_refuse(job.task_resources, now)) return false;
-  const bool available = machine.state == MachineState::booting ? cluster_.can_rent_in_zone(machine.zone)
-                                                                : cluster_.is_schedulable(machine, now);
-  return available && (job.spec.zone.empty() || job.spec.zone == machine.zone);
+  return cluster_.is_plannable(machine, now) && (job.spec.zone.empty() || job.spec.zone == machine.zone);
 }
 
 bool MachineFilter::leaves_gpu_room(const Job& job, const Machine& machine, const ResourceAmounts& offered,
--- a/tests/unit/autoscaler_test.cpp
+++ b/tests/unit/autoscaler_test.cpp
@@ -63,6 +63,20 @@
   EXPECT_TRUE(cluster_.needs_planning);
 }
 
+// Guards against capacity of a zone that is cut off, which a new leader knows from the cloud's list alone.
+TEST_F(AutoscalerTest, ListedMachinesOfAZoneThatIsCutOffAreNoCapacity) {
+  cluster_.machine_types.push_back(
+      {.name = "cards", .cpus = 16, .gpus = 2, .ram_gb = 64, .price = 1, .boot_s = 10, .zones = {"b"}});
+  for (const char* id : {"m-000001", "m-000002", "m-000003"}) add_listed_machine(id, "b", "cards");
+  autoscaler_.record_gpu_demand(cluster_, now_);
+  EXPECT_EQ(autoscaler_.demand().unclaimed_gpus(), 6 * plan::kUnitsPerWhole);
+  const zone::ZoneObservation silent{.silent = 3};
+  for (int observation = 0; observation < 2; ++observation) cluster_.zone_health.update({{"b", silent}}, now_);
+  ASSERT_EQ(cluster_.zone_health.state_of("b"), zone::ZoneState::cut);
+  autoscaler_.record_gpu_demand(cluster_, now_);
+  EXPECT_EQ(autoscaler_.demand().unclaimed_gpus(), 0);
+}
+
 TEST_F(AutoscalerTest, SuccessorKeepsOnlyRefusals) {
   Job& job = add_job(spec_of("j-000001", 4));
   job.late_tasks = 4;
