--- a/tests/long-days.sh
+++ b/tests/long-days.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Plays the tests that take too long for CI (those whose names begin with DISABLED_): long days of 1,260 machines in virtual
-# time, whose shares of served work it prints, many small days with quick crashes, with concurrent faults and with refusals,
-# and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a
+# time, whose shares of served work it prints, many small days with quick crashes, with concurrent faults, with refusals and
+# with zones that lose their machines, and all moments of a refusal of the leader with an outage after it. A broken rule fails it. Outside CI, in one process at a
 # time, after the build that README.md tells; what came of it is written to tests/long-days.result.txt.
 # tests/long-days.sh [FIRST SEED] [LAST SEED] [SECONDS] of the long days, [FIRST SEED] [LAST SEED] of the quick days and of those
 # with concurrent faults
@@ -15,6 +15,7 @@
   [ManyQuickDays.DISABLED_KeepTheRules]="${4:-101} ${5:-1000}"
   [ManyConcurrentFaultDays.DISABLED_KeepTheRules]="${4:-201} ${5:-2000}"
   [ManyRefusalDays.DISABLED_KeepTheRules]=""  # seeds 1001 to 4000
+  [ManyZoneLossDays.DISABLED_AJobBoundToTheZoneRuns]=""  # seeds 1001 to 5000
   [RefusedAloneAtAllMoments.DISABLED_CancelledTasksAreGoneInTime]=""
 )
 # All there are, so that none is forgotten.
