Pools: the file of the pool controller is split by function

Change: what a pool wants, its drafts of transactions and its decisions stand in files of their own, as with the Controller. Nothing else changes: apart from includes, using-declarations and namespaces the lines are the same.

--- a/src/pools/keeper.h
+++ b/src/pools/keeper.h
@@ -17,6 +17,11 @@
 
 namespace foxshunt::pools {
 
+// The milliseconds in a span that is not negative.
+[[nodiscard]] inline std::uint64_t ms(std::chrono::milliseconds span) {
+  return static_cast<std::uint64_t>(span.count());
+}
+
 // Whether one of the pool's windows is open at the time of day; asked only of pools that have windows.
 using OpenNow = std::function<bool(const catalog::PoolDef& pool, std::int64_t wall_ms)>;
 
