--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -139,10 +139,10 @@
   // Applies a complete machine list, which was requested at `requested` and is here now.
   void on_machine_list(const std::vector<wire::ListedMachine>& listed, Instant requested, Instant now);
   [[nodiscard]] std::optional<wire::ScaleOutRequest> next_scale_out(Instant now);
-  void on_scaled_out(const wire::ScaleOutRequest& request, const std::vector<MachineId>& machines, Instant now);
+  void on_scaled_out(const wire::ScaleOutRequest& request, const std::vector<MachineId>& rented, Instant now);
   void on_scale_out_refused(const wire::ScaleOutRequest& request, Instant now);
   [[nodiscard]] std::vector<MachineId> next_scale_in(Instant now);
-  void on_scaled_in(const std::vector<MachineId>& machines, Instant now);
+  void on_scaled_in(const std::vector<MachineId>& returned, Instant now);
 
   // ---- pools ----
   // Replaces the directives of the warm pools. May be called at any time, also while not leading.
--- a/src/control/reconciler.cpp
+++ b/src/control/reconciler.cpp
@@ -73,7 +73,8 @@
 
 Machine& Reconciler::update_machine(const wire::Heartbeat& heartbeat, Instant now) {
   Machine& machine = cluster_.find_or_add_machine(heartbeat.machine, now);
-  if (cluster_.machines.apply_heartbeat(machine, heartbeat, leadership_.term(), now)) cluster_.needs_planning = true;
+  if (inventory::MachineInventory::apply_heartbeat(machine, heartbeat, leadership_.term(), now))
+    cluster_.needs_planning = true;
   cluster_.update_planner_machine(machine);
   return machine;
 }
--- a/src/inventory/machine_inventory.h
+++ b/src/inventory/machine_inventory.h
@@ -157,7 +157,7 @@
   [[nodiscard]] bool should_accept(const wire::Heartbeat& heartbeat) const;
   // Applies a heartbeat for which should_accept() is true. `term` is the term of this leader. Returns true when the
   // machine was booting until now.
-  bool apply_heartbeat(Machine& machine, const wire::Heartbeat& heartbeat, Term term, Instant now);
+  static bool apply_heartbeat(Machine& machine, const wire::Heartbeat& heartbeat, Term term, Instant now);
   // Whether the heartbeat is the last one that was applied for its machine.
   [[nodiscard]] bool is_latest(const wire::Heartbeat& heartbeat) const;
   // Applies an entry of a cloud listing. Returns nullopt for a machine whose return has been confirmed: the list is
--- a/src/pools/keeper.h
+++ b/src/pools/keeper.h
@@ -116,7 +116,8 @@
   [[nodiscard]] bool has_room(const catalog::PoolDef& pool, const std::string& type) const;
   [[nodiscard]] bool takes(const catalog::PoolDef& pool, const std::string& type, const std::string& zone,
                            bool spot) const;
-  [[nodiscard]] bool warm(const catalog::PoolDef& pool, const MachineObservation& observation) const;
+  // Whether the machine has all images of the pool in its cache.
+  [[nodiscard]] static bool has_all_images(const catalog::PoolDef& pool, const MachineObservation& observation);
   [[nodiscard]] std::uint64_t price_of(const std::string& type, bool spot) const;
   [[nodiscard]] Wish wish(const catalog::PoolDef& pool, std::uint64_t wall_ms) const;
   [[nodiscard]] std::optional<wire::ScaleOutRequest> choose(const catalog::PoolDef& pool, std::uint32_t wanted,
@@ -133,10 +134,10 @@
   [[nodiscard]] kv::Txn finish(Draft draft) const;
 
   [[nodiscard]] std::optional<kv::Txn> take_answer(std::uint64_t wall_ms) const;
-  [[nodiscard]] std::optional<kv::Txn> let_go(const std::string& pool, std::uint64_t wall_ms) const;
+  [[nodiscard]] std::optional<kv::Txn> let_go(const std::string& name, std::uint64_t wall_ms) const;
   [[nodiscard]] std::optional<kv::Txn> adopt(const catalog::PoolDef& pool, std::uint64_t wall_ms) const;
   [[nodiscard]] std::optional<kv::Txn> rent(const catalog::PoolDef& pool, std::uint64_t wall_ms) const;
-  [[nodiscard]] std::optional<kv::Txn> charge_due(const std::string& pool, record_cache::Moment now) const;
+  [[nodiscard]] std::optional<kv::Txn> charge_due(const std::string& name, record_cache::Moment now) const;
   [[nodiscard]] std::optional<kv::Txn> tell_state(const catalog::PoolDef& pool, record_cache::Moment now) const;
   [[nodiscard]] std::optional<kv::Txn> tell_holds(record_cache::Moment now);
   [[nodiscard]] std::optional<kv::Txn> clear_away(std::uint64_t wall_ms) const;
--- a/src/pools/keeper_decisions.cpp
+++ b/src/pools/keeper_decisions.cpp
@@ -80,7 +80,7 @@
       const MachineUse use = observation == nullptr ? member.use : observation->use;
       const bool idle = use == MachineUse::idle;
       if (!idle && wished.in_use_only) continue;
-      const bool is_warm = observation == nullptr || def == nullptr ? member.warm : warm(*def, *observation);
+      const bool is_warm = observation == nullptr || def == nullptr ? member.warm : has_all_images(*def, *observation);
       more.push_back({.rank = {!idle, is_warm, UINT64_MAX - member.micros_hour, member.id}, .chunk = number});
     }
   }
@@ -137,7 +137,7 @@
     if (!observation.spare || observation.leaving || taken.contains(observation.id) || perhaps_rented(observation))
       continue;
     if (takes(pool, observation.type, observation.zone, observation.spot))
-      fit.emplace_back(!warm(pool, observation), &observation);
+      fit.emplace_back(!has_all_images(pool, observation), &observation);
   }
   std::vector<Member> members;
   while (there < wished.wanted && !fit.empty() && members.size() < constants::kPoolMembersPerRecord) {
--- a/src/pools/keeper_drafts.cpp
+++ b/src/pools/keeper_drafts.cpp
@@ -92,7 +92,7 @@
   if (observation == nullptr) return;
   member.use = observation->use;
   member.team = observation->team;
-  member.warm = warm(pool, *observation);
+  member.warm = has_all_images(pool, *observation);
 }
 
 Txn WarmPoolController::finish(Draft draft) const {
--- a/src/pools/keeper_wishes.cpp
+++ b/src/pools/keeper_wishes.cpp
@@ -34,7 +34,7 @@
          !observation_.left_zones.contains(zone);
 }
 
-bool WarmPoolController::warm(const catalog::PoolDef& pool, const MachineObservation& observation) const {
+bool WarmPoolController::has_all_images(const catalog::PoolDef& pool, const MachineObservation& observation) {
   return std::ranges::all_of(pool.images, [&observation](const catalog::PoolImage& image) {
     return std::ranges::find(observation.images, image.image, &CachedImage::image) != observation.images.end();
   });
--- a/tests/unit/machine_inventory_test.cpp
+++ b/tests/unit/machine_inventory_test.cpp
@@ -30,7 +30,7 @@
   // Applies the heartbeat as the controller does: only if the inventory accepts it.
   bool report(const wire::Heartbeat& heartbeat) {
     if (!machines_.should_accept(heartbeat)) return false;
-    machines_.apply_heartbeat(machines_.find_or_add(heartbeat.machine, now_).machine, heartbeat, kTerm, now_);
+    MachineInventory::apply_heartbeat(machines_.find_or_add(heartbeat.machine, now_).machine, heartbeat, kTerm, now_);
     return true;
   }
   static wire::ListedMachine make_listed_machine(const MachineId& id,
@@ -74,8 +74,8 @@
   EXPECT_EQ(known->machine.type, "other");
   EXPECT_FALSE(known->machine.listed.running);
   EXPECT_FALSE(machines_.can_accept_tasks(known->machine, now_));
-  EXPECT_TRUE(machines_.apply_heartbeat(known->machine, make_heartbeat(kFirst, 1, 1, kTerm), kTerm,
-                                        now_));  // the machine was booting
+  EXPECT_TRUE(MachineInventory::apply_heartbeat(known->machine, make_heartbeat(kFirst, 1, 1, kTerm), kTerm,
+                                                now_));  // the machine was booting
   EXPECT_TRUE(machines_.can_accept_tasks(known->machine, now_));
   const auto relisted = machines_.apply_listing(make_listed_machine(kFirst), Millis(10'000), now_ + Millis(1'000));
   EXPECT_FALSE(relisted->is_new);
