--- a/tests/scenarios/zone_days_test.cpp
+++ b/tests/scenarios/zone_days_test.cpp
@@ -1,5 +1,5 @@
-// Random short days on which the machines of a zone go, hang or can't be reached about the time at which the leader does. A job that
-// is bound to the zone has to run all the same: the zone may not wait for machines that never come back.
+// Random short days on which the machines of a zone are returned, hang or are cut off within seconds of a crash or standstill of the
+// leader. A job that is bound to the zone has to run all the same: the zone may not wait for machines that never report again.
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
